--- /dev/null
+++ b/ochrehoist/__init__.py
@@ -0,0 +1,1 @@
+"""ochrehoist: admission control inside each server of a fleet."""
--- /dev/null
+++ b/ochrehoist/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: the scheduler, buffered streams, fronts, executors and signals."""
--- a/yokepin/balance.py
+++ b/ochrehoist/rules.py
@@ -1,4 +1,4 @@
-"""All decisions of yokepin. The types it takes and gives, settings, events, actions: yokepin/interface.py.
+"""All decisions of ochrehoist. The types it takes and gives are in ochrehoist/interface.py.
 
 The ordinary path is the LIGHT-APPROX table of the multiprogramming limit (docs/design.md); the rest guards.
 """
@@ -9,7 +9,7 @@
 from heapq import heappop, heappush
 from math import exp
 
-from yokepin.interface import (
+from ochrehoist.interface import (
     NEVER_RAN, Advice, Advise, Alarm, Below, Call, CallEnded, CallerGone, CallNeeded, Completed, Fail, Forget,
     Health, Join, Keep, KeepAlive, Leave, Outcome, Preemption, Refuse, Repeat, Request, SetAlarm, SkipCall,
     Start, Started, Stop)
--- a/yokepin/wirehost.py
+++ b/ochrehoist/wirehost.py
@@ -1,6 +1,6 @@
 """The adapter: reads batches of events from standard input, hands each to its controller, writes the actions.
 
-Translation only; what is decided, is decided in yokepin.balance.
+Translation only; what is decided, is decided in ochrehoist.rules.
 """
 
 import json
@@ -8,8 +8,8 @@
 import sys
 import traceback
 
-from yokepin import interface as i
-from yokepin.balance import AdmissionController
+from ochrehoist import interface as i
+from ochrehoist.rules import AdmissionController
 
 OUTCOMES = {
     "Ok": i.Outcome.OK, "Failed": i.Outcome.FAILED, "QueueFull": i.Outcome.FULL,
@@ -380,7 +380,7 @@
             if line:
                 host.line(line)
     except BadInput as error:
-        print(f"yokepin: {error}", file=err)
+        print(f"ochrehoist: {error}", file=err)
         return 2
     except BrokenPipeError:
         return 1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from yokepin import interface as i
-from yokepin.balance import AdmissionController
+from ochrehoist import interface as i
+from ochrehoist.rules import AdmissionController
 
 MS, S = 1_000_000, 1_000_000_000
 
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from yokepin import interface as i
+from ochrehoist import interface as i
 
 STEP = st.one_of(
     st.tuples(st.just("request"), st.integers(0, 3), st.integers(50, 6000), st.integers(0, 1500),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,8 +3,8 @@
 import pytest
 from helpers import CLASSES, MS, Driver, S
 
-from yokepin import interface as i
-from yokepin.balance import AdmissionController
+from ochrehoist import interface as i
+from ochrehoist.rules import AdmissionController
 
 READ, WRITE, PAY, RICH = range(4)
 
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from yokepin import wirehost
+from ochrehoist import wirehost
 
 ID = "5d3a91c4-2d21-442e-aaef-21d776910d66"
 
--- a/yokepin/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""yokepin: admission control inside each server of a fleet."""
