Serve the platform's Thrift protocol with a real worker round the decision module

core/ owns the module behind an inbox and imports nothing of net/; net/ holds the greenlet scheduler over select.poll, buffered streams, the Thrift codec and front, the kernel link and the membership reports. The settings reader moved out of the adapter into settings.py, shared by both; its unused MAX_TOKEN is gone.

--- /dev/null
+++ b/ochrehoist/core/keys.py
@@ -0,0 +1,91 @@
+"""Filings by their token: which try holds the entry, which one ran, and what came of it.
+
+Guards the rule that a filing never runs twice, whichever front its tries come by.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from ochrehoist.core.requests import KeyId, Result
+
+
+@dataclass(slots=True)
+class Run:
+    """The try of a filing that ran. Its window counts from the arrival of that try."""
+
+    id: str
+    window_end: int
+    result: Result | None = None
+    dropped: bool = False  # the result was too much to keep; the run itself is never forgotten early
+    waiters: list[str] = field(default_factory=list)
+
+
+class KeyTable:
+    """Entries and runs by token. `slack` is how long after its arrival a try may still be read."""
+
+    def __init__(self, slack: int, max_bytes: int) -> None:
+        self.slack, self.max_bytes, self.bytes = slack, max_bytes, 0
+        self.entries: dict[KeyId, tuple[str, int]] = {}  # token -> the try that holds it, and until when
+        self.held_by: dict[str, KeyId] = {}
+        self.runs: dict[KeyId, Run] = {}
+        self.stored: OrderedDict[KeyId, int] = OrderedDict()  # sizes of the results kept, oldest first
+
+    def original(self, token: KeyId, arrived: int) -> str | None:
+        """The try that one which arrived then repeats: judged by its arrival, however late it is read."""
+        holder, until = self.entries.get(token, (None, 0))
+        if holder is not None and arrived <= until:
+            return holder
+        run = self.runs.get(token)
+        return run.id if run is not None and arrived <= run.window_end else None
+
+    def keep(self, token: KeyId, holder: str, until: int) -> None:
+        self._drop(token)
+        self.entries[token], self.held_by[holder] = (holder, until), token
+
+    def forget(self, holder: str) -> None:
+        token = self.held_by.get(holder)
+        if token is not None:
+            self._drop(token)
+
+    def _drop(self, token: KeyId) -> None:
+        holder, _ = self.entries.pop(token, (None, 0))
+        if holder is not None:
+            del self.held_by[holder]
+
+    def may_run(self, token: KeyId, arrived: int) -> bool:
+        run = self.runs.get(token)
+        return run is None or (arrived > run.window_end and (run.result is not None or run.dropped))
+
+    def started(self, token: KeyId, holder: str, window_end: int) -> None:
+        self._release(token)
+        self.runs[token] = Run(holder, window_end)
+
+    def ended(self, token: KeyId, holder: str, result: Result, kept_bytes: int) -> list[str]:
+        """Stores the result of a run and gives the repeats that waited for it."""
+        run = self.runs.get(token)
+        if run is None or run.id != holder:
+            return []
+        waiters, run.waiters = run.waiters, []
+        run.result = result
+        self.stored[token] = kept_bytes
+        self.bytes += kept_bytes
+        while self.bytes > self.max_bytes:  # memory is bounded: the oldest results go, their runs stay known
+            oldest = next(iter(self.stored))
+            self.runs[oldest].dropped = True
+            self._release(oldest)
+        return waiters
+
+    def _release(self, token: KeyId) -> None:
+        self.bytes -= self.stored.pop(token, 0)
+        if token in self.runs:
+            self.runs[token].result = None
+
+    def sweep(self, now: int) -> None:
+        """Lets go of what no try that can still be read would name."""
+        past = now - self.slack
+        for token in [t for t, (_, until) in self.entries.items() if until < past]:
+            self._drop(token)
+        for token in [t for t, r in self.runs.items()
+                      if r.window_end < past and (r.result is not None or r.dropped)]:
+            self._release(token)
+            del self.runs[token]
--- /dev/null
+++ b/ochrehoist/core/owner.py
@@ -0,0 +1,311 @@
+"""The one task that owns the decision module: it alone hands events in and carries actions out.
+
+Everybody else posts messages to its inbox. It knows no wire and no scheduler: it sleeps on a Waker.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+from heapq import heappop, heappush
+from typing import Any
+
+from ochrehoist import interface as i
+from ochrehoist.core.keys import KeyTable
+from ochrehoist.core.requests import (
+    Arrived,
+    Booted,
+    Ended,
+    Gauges,
+    Gone,
+    Inbound,
+    Joined,
+    Leaving,
+    Listener,
+    Message,
+    Reason,
+    Result,
+    Waker,
+)
+from ochrehoist.rules import AdmissionController
+
+MS = 1_000_000
+SECOND = 1000 * MS
+RING_WAIT = 25 * MS  # an alarm rings so long after it fell due at the latest, with or without fresh gauges
+REARM = 100 * MS  # alarms go on after a fault in the module
+LAST_CALL = 150 * MS  # before the process is stopped, whatever is still open is failed
+RESULT_OVERHEAD = 600  # bytes that one remembered run takes beyond its result
+
+
+class Owner:
+    """The core. `measure` asks for gauges; they come back as a Gauges message, late or never."""
+
+    def __init__(self, settings: i.Settings, seed: int, waker: Waker, clock: Callable[[], int], log: Any,
+                 result_bytes: int, measure: Callable[[], None]) -> None:
+        self.settings, self.seed, self.waker, self.clock, self.log = settings, seed, waker, clock, log
+        self.measure = measure
+        self.inbox: deque[Message] = deque()
+        self.controller: AdmissionController | None = None
+        self.listeners: list[Listener] = []
+        self.live: dict[str, Inbound] = {}  # owed an answer, or still running
+        self.owed = 0
+        self.keys = KeyTable(slack=max(c.deadline for c in settings.classes) + SECOND, max_bytes=result_bytes)
+        self.alarms: list[tuple[int, int]] = []
+        self.backstops: list[tuple[int, str]] = []  # when each request must have been answered
+        self.ringing: tuple[int, list[int]] | None = None  # alarms that wait for gauges, and until when
+        self.gauges: dict[str, float] = {}
+        self.now = 0
+        self.healthy = True
+        self.leave_at: int | None = None
+        self.stop_at: int | None = None
+        self.served = self.refused = self.failed = 0
+        self.swept = 0
+
+    def post(self, message: Message) -> None:
+        self.inbox.append(message)
+        self.waker.set()
+
+    def run(self) -> None:
+        while True:
+            self.step()
+            self.waker.wait(self._timeout())
+
+    def step(self) -> None:
+        """Takes all that waits in the inbox and all that has fallen due."""
+        while self.inbox:
+            self._tick()
+            message = self.inbox.popleft()
+            try:
+                self.TAKES[type(message)](self, message)
+            except Exception:  # a fault of ours must not end the process: the backstop answers what is open
+                self.log.exception("fault in the core", message=type(message).__name__)
+        self._tick()
+        self._fall_due()
+
+    def _tick(self) -> None:
+        self.now = max(self.now, self.clock())  # the Unix clock may be set back; the module's may not
+
+    def _timeout(self) -> float | None:
+        if self.inbox:
+            return 0.0
+        times = [heap[0][0] for heap in (self.alarms, self.backstops) if heap]
+        if self.ringing:
+            times.append(self.ringing[0])
+        return max(0, min(times) - self.clock()) / SECOND if times else None
+
+    # ---- messages
+    def _booted(self, m: Booted) -> None:
+        if self.controller is not None:
+            return
+        settings = self.settings if m.cold is None else replace(self.settings, just_started=m.cold)
+        self.controller = AdmissionController(settings, self.seed)
+        self._handle(i.Started(), at=self.now - m.age)
+
+    def _arrived(self, m: Arrived) -> None:
+        r = m.request
+        if self.controller is None or r.id in self.live:
+            # Nothing ran: before the module is up, or where an id comes twice while the first is in hand.
+            r.answered = True
+            return r.responder.failed(Reason.INTERNAL)
+        cls = self.settings.classes[r.kind]
+        r.due = max(self.now, r.arrived + cls.deadline)
+        if self.stop_at is not None:
+            r.due = min(r.due, self.stop_at - LAST_CALL)
+        self.live[r.id] = r
+        self.owed += 1
+        heappush(self.backstops, (r.due, r.id))
+        original = self.keys.original(r.token, r.arrived) if r.token else None
+        self._handle(i.Request(
+            id=r.id, kind=r.kind, tenant=r.tenant, key=r.key, work=r.work, memory_kb=r.memory_kb, rank=r.rank,
+            retry=r.retry, write=r.write, caller=r.caller, unread_for=max(0, self.now - r.arrived),
+            original=original))
+
+    def _gone(self, m: Gone) -> None:
+        r = self.live.get(m.id)
+        if r is None:
+            return
+        self._settle(r)
+        self._handle(i.CallerGone(r.id))
+
+    def _ended(self, m: Ended) -> None:
+        r = self.live.pop(m.id, None)
+        if r is None:
+            return self.log.warning("end of an unknown run", id=m.id)
+        if r.token is not None:
+            size = len(m.result.body) + RESULT_OVERHEAD
+            for waiter in self.keys.ended(r.token, r.id, m.result, size):
+                self.post(Joined(waiter, m.result))
+        self._finish(r, m.result, m.took)
+
+    def _joined(self, m: Joined) -> None:
+        r = self.live.pop(m.id, None)
+        if r is not None:
+            self._finish(r, m.result, self.now - r.joined_at)
+
+    def _finish(self, r: Inbound, result: Result, took: int) -> None:
+        if self._settle(r):
+            if result.outcome is i.Outcome.OK:
+                self.served += 1
+                self._answer(r, lambda: r.responder.served(result))
+            else:
+                self.failed += 1
+                self._answer(r, lambda: r.responder.failed(Reason.EXECUTOR, result))
+        self._handle(i.Completed(r.id, result.outcome, took))
+
+    def _measured(self, m: Gauges) -> None:
+        self.gauges = m.values
+        self._ring()
+
+    def _leaving(self, m: Leaving) -> None:
+        if self.leave_at is not None:
+            return
+        self.leave_at, self.stop_at = self.now, self.now + m.remaining
+        for r in self.live.values():
+            if not r.answered:
+                heappush(self.backstops, (self.stop_at - LAST_CALL, r.id))
+        if self.controller is not None:
+            self._handle(i.Leave(m.remaining))
+        for listener in self.listeners:
+            listener.leaving(m.remaining)
+        self._set_health(False)
+
+    TAKES = {Booted: _booted, Arrived: _arrived, Gone: _gone, Ended: _ended, Joined: _joined,
+             Gauges: _measured, Leaving: _leaving}
+
+    # ---- time
+    def _fall_due(self) -> None:
+        while self.backstops and self.backstops[0][0] <= self.now:
+            r = self.live.get(heappop(self.backstops)[1])
+            if r is not None and not r.answered:  # the module should have: a fault, or a beat that came late
+                self.log.warning("answered by the backstop", id=r.id, started=r.started)
+                self._fail(r, Reason.GIVEN_UP)
+                self._handle(i.CallerGone(r.id))
+        due = []
+        while self.alarms and self.alarms[0][0] <= self.now:
+            due.append(heappop(self.alarms)[1])
+        if due and self.ringing is None:
+            self.ringing = (self.now + RING_WAIT, due)
+            self.measure()
+        elif due:
+            self.ringing[1].extend(due)
+        if self.ringing and self.ringing[0] <= self.now:
+            self._ring()
+        if self.now - self.swept >= SECOND:
+            self.swept = self.now
+            self.keys.sweep(self.now)
+
+    def _ring(self) -> None:
+        tokens, self.ringing = self.ringing[1] if self.ringing else [], None
+        for token in tokens:
+            if not self._handle(i.Alarm(token, dict(self.gauges))):
+                heappush(self.alarms, (self.now + REARM, token))
+
+    # ---- the module
+    def _handle(self, event: i.Event, at: int | None = None) -> bool:
+        try:
+            actions = self.controller.handle(self.now if at is None else at, event)
+        except Exception:
+            self.log.exception("fault in the decision module", event_type=type(event).__name__)
+            r = self.live.get(getattr(event, "id", None))
+            if r is not None and not r.answered and not r.started:
+                self._fail(r, Reason.INTERNAL)
+            return False
+        for action in actions:
+            try:
+                self.ACTS[type(action)](self, action)
+            except Exception:
+                self.log.exception("fault in an action", action=type(action).__name__)
+        return True
+
+    def _settle(self, r: Inbound) -> bool:
+        """Marks that nothing is owed for it any more; whether something was."""
+        if r.answered:
+            return False
+        r.answered = True
+        self.owed -= 1
+        if not r.started:
+            self.live.pop(r.id, None)
+        return True
+
+    def _answer(self, r: Inbound, send: Callable[[], None]) -> None:
+        try:
+            send()
+        except Exception:
+            self.log.exception("an answer could not be sent", id=r.id)
+
+    def _fail(self, r: Inbound, reason: Reason) -> None:
+        if self._settle(r):
+            self.failed += 1
+            self._answer(r, lambda: r.responder.failed(reason))
+
+    def _start(self, a: i.Start) -> None:
+        r = self.live.get(a.id)
+        if r is None or r.started:
+            return
+        cls = self.settings.classes[r.kind]
+        if r.token is not None:
+            if not self.keys.may_run(r.token, r.arrived):  # the module's rule; kept here a second time
+                self.log.error("a second run of one filing was held back", id=r.id)
+                r.started = True
+                return self.post(Ended(r.id, Result(i.Outcome.FAILED), 0))
+            self.keys.started(r.token, r.id, r.arrived + cls.window)
+        r.started = True
+        try:
+            r.executor.start(r)
+        except Exception:
+            self.log.exception("a run could not be started", id=r.id)
+            self.post(Ended(r.id, Result(i.Outcome.FAILED), 0))
+
+    def _refuse(self, a: i.Refuse) -> None:
+        r = self.live.get(a.id)
+        if r is not None and self._settle(r):
+            self.refused += 1
+            self._answer(r, lambda: r.responder.refused(a.backoff, a.no_retry))
+
+    def _give_up(self, a: i.Fail) -> None:
+        r = self.live.get(a.id)
+        if r is not None:
+            self._fail(r, Reason.GIVEN_UP)
+
+    def _keep(self, a: i.Keep) -> None:
+        r = self.live.get(a.id)
+        if r is not None and r.token is not None:
+            self.keys.keep(r.token, r.id, self.now + a.hold_for)
+
+    def _forget(self, a: i.Forget) -> None:
+        self.keys.forget(a.id)
+
+    def _join(self, a: i.Join) -> None:
+        r = self.live.get(a.id)
+        if r is None:
+            return
+        r.joined_at = self.now
+        run = self.keys.runs.get(r.token) if r.token is not None else None
+        if run is not None and run.result is None and not run.dropped:
+            run.waiters.append(r.id)
+        else:  # a run whose result was let go, for memory, can't be served again, only failed
+            found = run.result if run is not None and run.result is not None else Result(i.Outcome.FAILED)
+            self.post(Joined(r.id, found))
+
+    def _set_health(self, good: bool) -> None:
+        good = good and self.leave_at is None
+        if good != self.healthy:
+            self.healthy = good
+            for listener in self.listeners:
+                listener.health_changed(good)
+
+    def _keep_alive(self, a: i.KeepAlive) -> None:
+        for listener in self.listeners:
+            listener.keep_alive_changed(a.hold_for or self.settings.idle)
+
+    def _set_alarm(self, a: i.SetAlarm) -> None:
+        heappush(self.alarms, (self.now + a.delay, a.token))
+
+    def _unsupported(self, a: i.Action) -> None:
+        self.log.error("an action that this worker has no means for", action=type(a).__name__)
+
+    ACTS = {
+        i.Start: _start, i.Refuse: _refuse, i.Fail: _give_up, i.Keep: _keep, i.Forget: _forget, i.Join: _join,
+        i.Health: lambda self, a: self._set_health(a.good), i.KeepAlive: _keep_alive, i.SetAlarm: _set_alarm,
+        i.Log: lambda self, a: self.log.info("module", text=a.text),
+        i.Stop: _unsupported, i.Call: _unsupported, i.SkipCall: _unsupported, i.Advise: _unsupported,
+    }
--- /dev/null
+++ b/ochrehoist/core/requests.py
@@ -0,0 +1,134 @@
+"""What crosses between the core, the fronts that read requests and the executors that run them."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from ochrehoist.interface import Outcome
+
+KeyId = tuple[int | None, int, str]  # tenant, class and the caller's token: one filing
+
+
+class Reason(Enum):
+    """Why a request failed, for fronts that tell it apart."""
+
+    GIVEN_UP = "no answer by the due time"
+    EXECUTOR = "the run failed"
+    INTERNAL = "internal fault"
+
+
+@dataclass(slots=True, frozen=True)
+class Result:
+    """How a run ended. `detail` belongs to the executor that made it; the core passes it on unread."""
+
+    outcome: Outcome
+    body: bytes = b""
+    detail: Any = None
+
+
+class Responder(Protocol):
+    """Carries one final answer to the caller. It never blocks; a caller that has left is no error."""
+
+    def served(self, result: Result) -> None: ...
+
+    def refused(self, backoff: int, no_retry: bool) -> None: ...
+
+    def failed(self, reason: Reason, result: Result | None = None) -> None: ...
+
+
+class Executor(Protocol):
+    """Runs requests. It never blocks, and posts one Ended for each start, whatever happens."""
+
+    def start(self, request: "Inbound") -> None: ...
+
+
+class Waker(Protocol):
+    """Lets one task sleep until it is woken or a span (seconds) is over."""
+
+    def set(self) -> None: ...
+
+    def wait(self, timeout: float | None) -> None: ...
+
+
+class Listener(Protocol):
+    """Hears what the module wants of the process as a whole."""
+
+    def health_changed(self, good: bool) -> None: ...
+
+    def keep_alive_changed(self, hold_for: int) -> None: ...
+
+    def leaving(self, remaining: int) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Inbound:
+    """One request that was read whole, and how far it has come."""
+
+    id: str
+    kind: int
+    arrived: int  # Unix ns when it reached the machine
+    payload: Any  # for the executor, unread here
+    responder: Responder
+    executor: Executor
+    tenant: int | None = None
+    key: str | None = None
+    token: KeyId | None = None
+    work: int | None = None
+    memory_kb: float = 0.0
+    rank: float = 0.0
+    retry: bool = False
+    write: bool = False
+    caller: int = 0
+    due: int = 0
+    joined_at: int = 0
+    answered: bool = False  # or the caller has gone: no answer is owed
+    started: bool = False
+
+
+# ---- what other tasks post to the owner
+
+
+@dataclass(slots=True)
+class Booted:
+    """The executor is up: the module can be created."""
+
+    cold: bool | None  # None: as the settings say
+    age: int
+
+
+@dataclass(slots=True)
+class Arrived:
+    request: Inbound
+
+
+@dataclass(slots=True)
+class Gone:
+    id: str
+
+
+@dataclass(slots=True)
+class Ended:
+    id: str
+    result: Result
+    took: int
+
+
+@dataclass(slots=True)
+class Joined:
+    """A repeat that waited for, or found, the result of the run it repeats."""
+
+    id: str
+    result: Result
+
+
+@dataclass(slots=True)
+class Gauges:
+    values: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Leaving:
+    remaining: int
+
+
+Message = Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving
--- /dev/null
+++ b/ochrehoist/net/listener.py
@@ -0,0 +1,60 @@
+"""A listening socket that stays under the descriptor limit."""
+
+import errno
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from ochrehoist.net.loop import Loop
+from ochrehoist.net.stream import listen
+
+PAUSE = 0.05  # s without accepting when no descriptor is to be had
+
+
+class Listening:
+    def __init__(self, loop: Loop, address: tuple[str, int],
+                 accepted: Callable[[socket.socket], Callable[[], None]], limit: int, log: Any) -> None:
+        self.loop, self.accepted, self.limit, self.log = loop, accepted, limit, log
+        self.sock = listen(address)
+        self.count, self.stopped = 0, False
+        self._resume()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.sock.getsockname()
+
+    def full(self) -> bool:
+        return self.count >= self.limit
+
+    def _resume(self) -> None:
+        if not self.stopped and not self.full():
+            self.loop.on_readable(self.sock.fileno(), self._accept)
+
+    def _accept(self) -> None:
+        while not self.full():
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self.log.warning("no descriptor for a new connection")
+                    self.loop.on_readable(self.sock.fileno(), None)
+                    self.loop.call_later(PAUSE, self._resume)
+                    return
+                continue  # the peer left before it was accepted
+            self.count += 1
+            self.loop.spawn(self.accepted(sock))
+        self.loop.on_readable(self.sock.fileno(), None)  # at the limit: the rest wait to be accepted
+
+    def closed(self) -> None:
+        self.count -= 1
+        self._resume()
+
+    def stop(self) -> None:
+        """Takes what has already connected, then lets go of the port."""
+        if not self.stopped:
+            self._accept()
+            self.stopped = True
+            self.loop.forget(self.sock.fileno())
+            self.sock.close()
--- /dev/null
+++ b/ochrehoist/net/stream.py
@@ -0,0 +1,171 @@
+"""A bounded, buffered socket. Reading waits; writing never does: what a peer is slow to take is kept."""
+
+import errno
+import socket
+import time
+from collections.abc import Callable
+
+from ochrehoist.net.loop import Loop, Signal
+
+READ = 65536
+MAX_UNSENT = 512 * 1024  # a peer that reads so slowly is cut off: it must not cost memory
+
+
+class Closed(Exception):
+    """The connection has ended, or was ended by us."""
+
+
+class TimedOut(Exception):
+    """The peer took too long."""
+
+
+class Stream:
+    def __init__(self, loop: Loop, sock: socket.socket, max_unsent: int = MAX_UNSENT) -> None:
+        sock.setblocking(False)
+        if sock.family != socket.AF_UNIX:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.loop, self.sock, self.fd, self.max_unsent = loop, sock, sock.fileno(), max_unsent
+        self.buffer = bytearray()
+        self.unsent = bytearray()
+        self.ended = False  # no more will be read
+        self.closed = False
+        self.closing = False  # closes once all is sent
+        self.arrived = Signal(loop)
+        self.wants_input = False
+        self.on_close: Callable[[], None] | None = None
+
+    # ---- reading
+    def fill(self, timeout: float | None = None) -> None:
+        """Waits for more bytes, or raises Closed or TimedOut."""
+        had, until = len(self.buffer), None if timeout is None else time.monotonic() + timeout
+        while len(self.buffer) == had:
+            if self.ended:
+                raise Closed
+            self._want_input()
+            if not self.arrived.wait(None if until is None else until - time.monotonic()) \
+                    and until is not None and time.monotonic() >= until:
+                raise TimedOut
+
+    def watch(self, done: Callable[[], bool]) -> None:
+        """Waits until done() holds (checked at each `arrived`), more bytes come or the peer leaves."""
+        had = len(self.buffer)
+        while not done() and not self.ended and len(self.buffer) == had:
+            self._want_input()
+            self.arrived.wait()
+
+    def _want_input(self) -> None:
+        if not self.wants_input and not self.ended:
+            self.wants_input = True
+            self.loop.on_readable(self.fd, self._readable)
+
+    def _readable(self) -> None:
+        try:
+            data = self.sock.recv(READ)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data = b""
+        # One read a wait: the peer's own buffer bounds what a fast sender can pile up here.
+        self.wants_input = False
+        self.loop.on_readable(self.fd, None)
+        self.buffer += data
+        self.ended = not data
+        self.arrived.set()
+
+    def take(self, count: int, timeout: float | None = None) -> bytes:
+        while len(self.buffer) < count:
+            self.fill(timeout)
+        data = bytes(self.buffer[:count])
+        del self.buffer[:count]
+        return data
+
+    def take_line(self, limit: int, timeout: float | None = None) -> bytes:
+        """A line without its end; one longer than the limit ends the connection."""
+        start = 0
+        while (at := self.buffer.find(b"\n", start)) < 0:
+            start = len(self.buffer)
+            if start > limit:
+                raise Closed
+            self.fill(timeout)
+        line = bytes(self.buffer[:at])
+        del self.buffer[:at + 1]
+        return line.rstrip(b"\r")
+
+    # ---- writing
+    def write(self, data: bytes) -> None:
+        if self.closed or self.closing:
+            return
+        if not self.unsent:
+            try:
+                data = data[self.sock.send(data):]
+            except (BlockingIOError, InterruptedError):
+                pass
+            except OSError:
+                return self.close()
+            if not data:
+                return
+            self.loop.on_writable(self.fd, self._writable)
+        self.unsent += data
+        if len(self.unsent) > self.max_unsent:
+            self.close()
+
+    def _writable(self) -> None:
+        try:
+            del self.unsent[:self.sock.send(self.unsent)]
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            return self.close()
+        if not self.unsent:
+            self.loop.on_writable(self.fd, None)
+            if self.closing:
+                self.close()
+
+    # ---- ending
+    def close_when_sent(self) -> None:
+        self.closing = True
+        if not self.unsent:
+            self.close()
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = self.ended = True
+        self.loop.forget(self.fd)
+        self.sock.close()
+        self.arrived.set()
+        if self.on_close is not None:
+            self.on_close()
+
+
+def connect(loop: Loop, address: tuple[str, int], timeout: float) -> Stream:
+    """A stream to a TCP address, or OSError."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    try:
+        code = sock.connect_ex(address)
+        if code == errno.EINPROGRESS:
+            done = Signal(loop)
+            loop.on_writable(sock.fileno(), done.set)
+            in_time = done.wait(timeout)
+            loop.forget(sock.fileno())
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) if in_time else errno.ETIMEDOUT
+        if code:
+            raise OSError(code, errno.errorcode.get(code, "connect"))
+    except BaseException:
+        sock.close()
+        raise
+    return Stream(loop, sock)
+
+
+def listen(address: tuple[str, int]) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind(address)
+        sock.listen(1024)
+    except BaseException:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
--- a/ochrehoist/wirehost.py
+++ b/ochrehoist/wirehost.py
@@ -3,163 +3,19 @@
 Translation only; what is decided, is decided in ochrehoist.rules.
 """
 
-import json
 import math
 import sys
 import traceback
 
 from ochrehoist import interface as i
 from ochrehoist.rules import AdmissionController
+from ochrehoist.settings import BadInput, read_settings
 
 OUTCOMES = {
     "Ok": i.Outcome.OK, "Failed": i.Outcome.FAILED, "QueueFull": i.Outcome.FULL,
     "TimedOut": i.Outcome.TIMED_OUT, "ConnectError": i.Outcome.UNREACHABLE, "ResetByPeer": i.Outcome.RESET,
     "Canceled": i.Outcome.CANCELLED, "Ignored": i.Outcome.MOOT,
 }
-REPEATS = {"idempotent": i.Repeat.SAFE, "deduplicated": i.Repeat.KEYED, "at_most_once": i.Repeat.UNSAFE}
-BELOW = {"off": i.Below.NOTHING, "shared": i.Below.SHARED, "tier": i.Below.TIER}
-ADVICE = {"off": i.Advice.NONE, "window": i.Advice.WINDOW, "threshold": i.Advice.LEVEL,
-          "share_of": i.Advice.WEIGHT}
-PREEMPTION = {"off": i.Preemption.NONE, "abort": i.Preemption.DROP, "suspend": i.Preemption.PAUSE}
-MAX_TOKEN = 2**63
-REQUIRED = object()
-
-
-class BadInput(Exception):
-    """A line or a setting that cannot be used; the text names it."""
-
-
-# ---- settings
-
-
-class _Reader:
-    """Reads one JSON object of the settings and names what is missing or unusable."""
-
-    def __init__(self, data, path):
-        if not isinstance(data, dict):
-            raise BadInput(f"setting {path or 'Settings'}: not an object")
-        self.data, self.path = data, path
-
-    def _get(self, key, default):
-        value = self.data.get(key)
-        if value is None:
-            if default is REQUIRED:
-                raise BadInput(f"setting {self.path}{key}: missing")
-            return default
-        return value
-
-    def _bad(self, key, value):
-        return BadInput(f"setting {self.path}{key}: unusable value {value!r}")
-
-    def number(self, key, default=REQUIRED, least=0.0):
-        value = self._get(key, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value) \
-                or value < least:
-            raise self._bad(key, value)
-        return value
-
-    def whole(self, key, default=REQUIRED, least=0):
-        value = self.number(key, default, least)
-        if value != int(value):
-            raise self._bad(key, value)
-        return int(value)
-
-    def flag(self, key, default=REQUIRED):
-        value = self._get(key, default)
-        if not isinstance(value, bool):
-            raise self._bad(key, value)
-        return value
-
-    def text(self, key):
-        value = self._get(key, REQUIRED)
-        if not isinstance(value, str) or not value:
-            raise self._bad(key, value)
-        return value
-
-    def choice(self, key, table, default=REQUIRED):
-        value = self._get(key, default)
-        if not isinstance(value, str) or value not in table:
-            raise self._bad(key, value)
-        return table[value]
-
-    def items(self, key, default=REQUIRED):
-        value = self._get(key, default)
-        if not isinstance(value, list):
-            raise self._bad(key, value)
-        return value
-
-    def part(self, key, default=REQUIRED):
-        return _Reader(self._get(key, default), f"{self.path}{key}.")
-
-
-def _classes(top, info):
-    listed = top.items("Classes")
-    if not listed:
-        raise BadInput("setting Classes: unusable value []")
-    calls = info.items("ClassCalls", [False] * len(listed))
-    skips = info.items("ClassSkipWorth", [0.0] * len(listed))
-    for name, values, kinds in (("ClassCalls", calls, bool), ("ClassSkipWorth", skips, int | float)):
-        if len(values) != len(listed) or not all(isinstance(v, kinds) for v in values):
-            raise BadInput(f"setting FamilyInfo.{name}: unusable value {values!r}")
-    out = []
-    for at, data in enumerate(listed):
-        c = _Reader(data, f"Classes[{at}].")
-        repeat = c.choice("Repeat", REPEATS)
-        out.append(i.RequestClass(
-            name=c.text("Name"), aim=c.whole("Slo", least=1), deadline=c.whole("Deadline", least=1),
-            worth=c.number("Gain"), late_worth=c.number("LateValue", 0.0), repeat=repeat,
-            window=c.whole("Window", REQUIRED if repeat is i.Repeat.KEYED else 0),
-            aim_stretch=c.number("AimStretch", 0.0), calls=calls[at], skip_worth=float(skips[at]),
-        ))
-    return tuple(out)
-
-
-def _tenants(top):
-    out = []
-    for at, data in enumerate(top.items("Tenants", [])):
-        t = _Reader(data, f"Tenants[{at}].")
-        out.append(i.Tenant(t.text("Name"), t.number("QuotaPerS"), t.number("Fraction", 0.0)))
-    return tuple(out)
-
-
-def read_settings(text):
-    """The settings object of a CREATE message, as the controller's Settings."""
-    try:
-        data = json.loads(text)
-    except ValueError as error:
-        raise BadInput(f"message CREATE field Settings: {error}") from None
-    top = _Reader(data, "")
-    info, rules, limits = top.part("FamilyInfo"), top.part("Rules"), top.part("PolicyLimits", {})
-    mix, prices = top.part("ResultMix"), top.part("Charges", {})
-    below = info.choice("DependsOn", BELOW, "off")
-    shared = REQUIRED if below is i.Below.SHARED else 0
-    advice = info.choice("Say", ADVICE, "off")
-    return i.Settings(
-        classes=_classes(top, info), tenants=_tenants(top),
-        goal=i.Goal(mix.number("Whole"), mix.number("WorstWindow", 0.0), mix.number("WorstClass", 0.0),
-                    mix.number("WorstTenant", 0.0)),
-        prices={k: v for k, v in prices.data.items() if isinstance(v, int | float)},
-        fleet_size=top.whole("FleetSize", least=1), tier=top.whole("Stage", 0),
-        callers=info.whole("Callers", 0),
-        cores=info.whole("Cores", least=1), memory_kb=info.number("HeapKb"),
-        run_factor=info.number("RunFactor", least=1.0), key_kb=info.number("KeyKb", 0.0),
-        just_started=info.flag("JustStarted", False), cold=rules.whole("Cold"),
-        cold_from=rules.number("ColdFrom"), tip_multiple=rules.number("TipMultiple", least=1.0),
-        fall=rules.whole("Fall"), drain_grace=rules.whole("DrainGrace"),
-        answer_grace=rules.whole("GraceToAnswer"), passes_deadline=info.flag("PassesDeadline", False),
-        tells_gone=info.flag("TellsGone", False),
-        marks_retry=top.part("ClientHabits", {}).flag("MarksRetry", False),
-        worth_by_work=top.choice("WorthBy", {"request": False, "work": True}, "request"),
-        over_share_worth=top.number("OverShareWorth", 1.0), below=below,
-        fair_calls=info.number("FairCalls", shared), calls_over=info.whole("CallsOver", shared),
-        lingers=info.whole("Lingers", 0), fresh_for=info.whole("FreshFor", 0), advice=advice,
-        advice_heard_for=info.whole("HeardFor", 0), backoff_relayed=limits.flag("RetryAfter", False),
-        max_backoff=limits.whole("MaxRetryAfter", 0),
-        preemption=info.choice("Preemption", PREEMPTION, "off"), readiness=info.flag("Readiness", False),
-        deep_checks=info.flag("DeepChecks", False), idle=info.whole("Idle", 0),
-        step=top.whole("Step", least=1),
-    )
-
 
 # ---- events
 
