--- /dev/null
+++ b/ochrehoist/net/ajp_front.py
@@ -0,0 +1,248 @@
+"""The AJP front: web servers and balancers connect here; each request goes through the same core as Thrift's."""
+
+import hmac
+import itertools
+import socket
+import time
+from collections.abc import Callable
+from fnmatch import fnmatchcase
+from http import HTTPStatus
+from typing import Any
+
+from ochrehoist.config import AjpConfig
+from ochrehoist.core.owner import Owner
+from ochrehoist.core.requests import Arrived, Executor, Gone, Inbound, Reason, Result
+from ochrehoist.interface import Repeat
+from ochrehoist.net import ajp
+from ochrehoist.net.ajp_server import AjpPayload, read_packet
+from ochrehoist.net.listener import Listening
+from ochrehoist.net.loop import Loop
+from ochrehoist.net.stream import Closed, Stream, TimedOut
+
+S = 1_000_000_000
+
+
+class Rejected(Exception):
+    """Answered by the front itself: the request never becomes one of the core's."""
+
+    def __init__(self, status: HTTPStatus, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class AjpReader:
+    """Reads a Forward Request into a core request, by the rules of the configuration."""
+
+    def __init__(self, owner: Owner, executor: Executor, config: AjpConfig) -> None:
+        self.owner, self.executor, self.config = owner, executor, config
+        self.tenants = {t.name: at for at, t in enumerate(owner.settings.tenants)}
+        self.kinds = {c.name: at for at, c in enumerate(owner.settings.classes)}
+        self.ids = itertools.count(1)
+
+    def check(self, f: ajp.Forward) -> tuple[int, int | None, str | None]:
+        """Class, tenant and filing key, before any of the body is read."""
+        secret = self.config.secret
+        if secret is not None and not hmac.compare_digest(secret.encode(), f.secret or b""):
+            raise Rejected(HTTPStatus.FORBIDDEN, "wrong secret")
+        path = f.uri.split(b"?")[0].split(b";")[0].decode("latin-1")
+        kind = next((self.kinds[r.kind] for r in self.config.rules
+                     if (not r.methods or f.method in r.methods) and fnmatchcase(path, r.uri)), None)
+        if kind is None:
+            raise Rejected(HTTPStatus.NOT_FOUND, "no class for this request")
+        if f.length > self.config.max_body:
+            raise Rejected(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
+        tenant = f.headers.get(self.config.tenant_header, b"").decode("latin-1") or self.config.default_tenant
+        if tenant is not None and self.tenants and tenant not in self.tenants:
+            raise Rejected(HTTPStatus.BAD_REQUEST, "unknown tenant")
+        token = f.headers.get(self.config.key_header, b"").decode("latin-1").strip()
+        if self.owner.settings.classes[kind].repeat is not Repeat.KEYED:
+            token = ""
+        elif not token or len(token) > 255:
+            raise Rejected(HTTPStatus.BAD_REQUEST, "a filing needs a key")
+        return kind, self.tenants.get(tenant), token or None
+
+    def request(self, f: ajp.Forward, checked: tuple, body: bytes, arrived: int,
+                responder: "AjpResponder") -> Inbound:
+        kind, tenant, token = checked
+        cls = self.owner.settings.classes[kind]
+        retry = f.headers.get(self.config.retry_header, b"")
+        return Inbound(
+            id=f"ajp-{next(self.ids)}", kind=kind, arrived=arrived, payload=AjpPayload(f, body),
+            responder=responder, executor=self.executor, tenant=tenant,
+            token=(tenant, kind, token) if token else None,
+            memory_kb=self.config.memory_kb + (len(f.packet) + len(body)) / 1024, rank=0.5,
+            retry=retry not in (b"", b"0"), write=cls.repeat is not Repeat.SAFE)
+
+
+class AjpResponder:
+    """The way back for one request: one response, and with it the end of its turn on the connection."""
+
+    def __init__(self, connection: "AjpConnection", head_only: bool) -> None:
+        self.connection, self.head_only, self.done = connection, head_only, False
+
+    def _respond(self, head: bytes, body: bytes) -> None:
+        if not self.done:
+            self.done = True
+            self.connection.respond(head, b"" if self.head_only else body)
+
+    def plain(self, status: HTTPStatus, why: str, more: tuple = ()) -> None:
+        text = f"{status.value} {status.phrase}: {why}\n".encode()
+        values = [(ajp.CONTENT_TYPE, b"text/plain; charset=utf-8"),
+                  (ajp.CONTENT_LENGTH, b"%d" % len(text)), *more]
+        self._respond(ajp.headers(status.value, status.phrase, values), text)
+
+    def served(self, result: Result) -> None:
+        if isinstance(result.detail, ajp.Reply):
+            return self._respond(result.detail.headers, result.body)
+        # The result of a filing that ran for another front: its bytes, as they are.
+        values = [(ajp.CONTENT_TYPE, b"application/octet-stream"),
+                  (ajp.CONTENT_LENGTH, b"%d" % len(result.body))]
+        self._respond(ajp.headers(200, "OK", values), result.body)
+
+    def refused(self, backoff: int, no_retry: bool) -> None:
+        seconds = max(1, -(-backoff // S))
+        self.plain(HTTPStatus.SERVICE_UNAVAILABLE, "turned away, never run", ((b"Retry-After", b"%d" % seconds),))
+
+    def failed(self, reason: Reason, result: Result | None = None) -> None:
+        if result is not None and isinstance(result.detail, ajp.Reply):
+            return self._respond(result.detail.headers, result.body)  # the server's own error page
+        if reason is Reason.GIVEN_UP:
+            self.plain(HTTPStatus.GATEWAY_TIMEOUT, reason.value)
+        elif reason is Reason.EXECUTOR:
+            self.plain(HTTPStatus.BAD_GATEWAY, reason.value)
+        else:
+            self.plain(HTTPStatus.INTERNAL_SERVER_ERROR, reason.value)
+
+
+class AjpConnection:
+    """One connection: one request at a time, as the protocol has it."""
+
+    def __init__(self, front: "AjpFront", stream: Stream) -> None:
+        self.front, self.stream, self.in_hand = front, stream, False
+        stream.on_close = lambda: front.closed(self)
+
+    def run(self) -> None:
+        config, size = self.front.config, self.front.config.packet_size
+        try:
+            while not self.stream.closing:
+                # Only the wait for the first byte may be long: a packet begun must come whole.
+                if not self.stream.buffer:
+                    self.stream.fill(config.idle_s)
+                arrived = time.time_ns()
+                packet = read_packet(self.stream, ajp.TO_CONTAINER, size, config.body_s)
+                kind = packet[0] if packet else 0
+                if kind == ajp.CPING:
+                    if not self.front.owner.healthy:
+                        break  # no answer: the balancer takes this worker for down
+                    self.stream.write(ajp.PONG_PACKET)
+                elif kind == ajp.FORWARD:
+                    self.in_hand = True
+                    self._forward(ajp.forward(packet), arrived)
+                    self.in_hand = False
+                elif kind not in (ajp.SHUTDOWN, ajp.PING):  # asked by nobody who may: passed over
+                    raise ajp.BadPacket(f"an unexpected packet {kind}")
+        except (Closed, TimedOut):
+            pass
+        except ajp.BadPacket as error:  # ends this connection only
+            self.front.log.warning("bad AJP packet", why=str(error))
+        finally:
+            self.stream.close_when_sent()
+
+    def _forward(self, f: ajp.Forward, arrived: int) -> None:
+        responder = AjpResponder(self, f.method == "HEAD")
+        if f.method == "GET" and f.uri == self.front.config.health_uri:
+            good = self.front.owner.healthy
+            return responder.plain(HTTPStatus.OK if good else HTTPStatus.SERVICE_UNAVAILABLE,
+                                   "up" if good else "not taking requests")
+        unread = bool(f.length)  # the first chunk of a told length is on its way unasked
+        try:
+            checked = self.front.reader.check(f)
+            kind = checked[0]
+            # A body that takes longer than its caller waits is of no use.
+            until = time.monotonic() + self.front.owner.settings.classes[kind].deadline / S
+            body = self._body(f, until)
+            unread = False
+        except Rejected as error:
+            responder.plain(error.status, str(error))
+            if error.status is HTTPStatus.REQUEST_ENTITY_TOO_LARGE and f.chunked:
+                self.stream.close_when_sent()  # more may be on its way: this connection is out of step
+            elif unread:
+                read_packet(self.stream, ajp.TO_CONTAINER, self.front.config.packet_size,
+                            self.front.config.body_s)
+            return
+        request = self.front.reader.request(f, checked, body, arrived, responder)
+        self.front.owner.post(Arrived(request))
+        while not responder.done:
+            self.stream.watch(lambda: responder.done)
+            if self.stream.ended or len(self.stream.buffer) > self.front.config.packet_size:
+                responder.done = True
+                self.front.owner.post(Gone(request.id))
+                raise Closed
+
+    def _body(self, f: ajp.Forward, until: float) -> bytes:
+        """The whole body, or Closed: one that is cut off midway runs nothing."""
+        config = self.front.config
+        size, body, first = config.packet_size, bytearray(), True
+        while f.chunked or len(body) < f.length:
+            if not first or f.chunked:
+                want = size - ajp.HEAD - 2
+                self.stream.write(ajp.get_body(want if f.chunked else min(want, f.length - len(body))))
+            first = False
+            left = until - time.monotonic()
+            if left <= 0:
+                raise TimedOut
+            piece = ajp.body(read_packet(self.stream, ajp.TO_CONTAINER, size, left))
+            body += piece
+            if not piece:
+                if f.chunked:
+                    break
+                raise Closed  # the caller's body ended early
+            if len(body) > config.max_body:
+                raise Rejected(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
+            if not f.chunked and len(body) > f.length:
+                raise ajp.BadPacket("more body than told")
+        return bytes(body)
+
+    def respond(self, head: bytes, body: bytes) -> None:
+        reuse = not self.front.draining
+        self.stream.write(ajp.response(head, body, self.front.config.packet_size, reuse))
+        if not reuse:
+            self.stream.close_when_sent()
+        self.stream.arrived.set()
+
+
+class AjpFront:
+    """Listens for AJP. It is a Listener of the core."""
+
+    def __init__(self, loop: Loop, owner: Owner, executor: Executor, config: AjpConfig, max_connections: int,
+                 log: Any) -> None:
+        self.loop, self.owner, self.config, self.log = loop, owner, config, log
+        self.reader = AjpReader(owner, executor, config)
+        self.connections: set[AjpConnection] = set()
+        self.draining = False
+        self.listening = Listening(loop, config.listen, self._accepted, max_connections, log)
+
+    def _accepted(self, sock: socket.socket) -> Callable[[], None]:
+        # Room for one response and some: a client that reads slowly holds up nobody else.
+        stream = Stream(self.loop, sock, self.config.max_response * 2 + 65536)
+        connection = AjpConnection(self, stream)
+        self.connections.add(connection)
+        return connection.run
+
+    def closed(self, connection: AjpConnection) -> None:
+        self.connections.discard(connection)
+        self.listening.closed()
+
+    def health_changed(self, good: bool) -> None:
+        pass  # CPing and the health URI are answered from the core's state
+
+    def keep_alive_changed(self, hold_for: int) -> None:
+        pass  # AJP has no farewell: its idle connections keep to the time configured
+
+    def leaving(self, remaining: int) -> None:
+        self.draining = True
+
+    def end_idle(self) -> None:
+        for c in list(self.connections):
+            if not c.in_hand and not c.stream.buffer:
+                c.stream.close_when_sent()
--- /dev/null
+++ b/ochrehoist/net/ajp_server.py
@@ -0,0 +1,163 @@
+"""AJP servers behind the appliance: an executor over pooled connections.
+
+A request that may have reached a server is never sent again, to that one or to another.
+"""
+
+import time
+from collections.abc import Iterator
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+from ochrehoist.config import AjpConfig, AjpServer
+from ochrehoist.core.owner import Owner
+from ochrehoist.core.requests import Ended, Gauges, Inbound, Result
+from ochrehoist.interface import Outcome
+from ochrehoist.net import ajp
+from ochrehoist.net.loop import Loop
+from ochrehoist.net.stream import Closed, Stream, TimedOut, connect
+
+
+@dataclass(slots=True)
+class AjpPayload:
+    """A request as it came: its packet, and its body, read whole."""
+
+    forward: ajp.Forward
+    body: bytes
+
+
+@dataclass(slots=True)
+class Pool:
+    server: AjpServer
+    idle: list[tuple[Stream, float]] = field(default_factory=list)  # and since when
+    busy: int = 0
+    failed_at: float = -1e9
+
+
+def read_packet(stream: Stream, magic: bytes, size: int, timeout: float | None) -> bytes:
+    """The payload of the next packet; its length is checked before anything is kept for it."""
+    head = stream.take(ajp.HEAD, timeout)
+    length = int.from_bytes(head[2:], "big")
+    if head[:2] != magic or length > size - ajp.HEAD:
+        raise ajp.BadPacket("not a packet of this direction, or one too long")
+    return stream.take(length, timeout)
+
+
+class AjpServers:
+    def __init__(self, loop: Loop, owner: Owner, config: AjpConfig, log: Any) -> None:
+        self.loop, self.owner, self.config, self.log = loop, owner, config, log
+        self.pools = [Pool(server) for server in config.servers]
+        self.running = 0
+        loop.call_later(1.0, self._sweep)
+
+    def start(self, request: Inbound) -> None:
+        self.running += 1
+        self.loop.spawn(self._run, request)
+
+    def measure(self) -> None:
+        """The gauges where no kernel tells them: what runs here stands for what is on the cores."""
+        s = self.owner.settings
+        held = sum(r.memory_kb * (s.run_factor if r.started else 1) for r in self.owner.live.values())
+        self.owner.post(Gauges({
+            "cpu_busy": min(1.0, self.running / s.cores), "runnable": float(self.running),
+            "mem_used": held / max(1.0, s.memory_kb), "sockets": float(len(self.owner.live))}))
+
+    def _run(self, request: Inbound) -> None:
+        began = time.monotonic()
+        result = Result(Outcome.FAILED)
+        try:
+            result = self._ask(request.payload)
+        finally:  # whatever happens, one Ended for each start
+            self.running -= 1
+            self.owner.post(Ended(request.id, result, int((time.monotonic() - began) * 1e9)))
+
+    def _ask(self, payload: AjpPayload) -> Result:
+        for pool in self._order():
+            pool.busy += 1
+            try:
+                stream = self._connection(pool)
+                if stream is None:  # nothing was sent: the next may be tried
+                    pool.failed_at = time.monotonic()
+                    continue
+                return self._exchange(pool, stream, payload)
+            finally:
+                pool.busy -= 1
+        return Result(Outcome.UNREACHABLE, success=False)
+
+    def _order(self) -> Iterator[Pool]:
+        """The least busy first; those that could not be reached lately last."""
+        now = time.monotonic()
+        retry = self.config.retry_ms / 1000
+        return iter(sorted(self.pools, key=lambda p: (now - p.failed_at < retry, p.busy)))
+
+    def _connection(self, pool: Pool) -> Stream | None:
+        """One that is known to be alive: a pooled one answers a CPing first, since it may have been closed."""
+        while pool.idle:
+            stream, _ = pool.idle.pop()
+            with suppress(Closed, TimedOut, ajp.BadPacket):
+                stream.write(ajp.PING_PACKET)
+                answer = read_packet(stream, ajp.TO_SERVER, self.config.packet_size,
+                                     pool.server.connect_ms / 1000)
+                if answer[:1] == bytes((ajp.CPONG,)):
+                    return stream
+            stream.close()
+        try:
+            return connect(self.loop, pool.server.address, pool.server.connect_ms / 1000)
+        except OSError as error:
+            self.log.warning("AJP server out of reach", server=pool.server.name, why=str(error))
+            return None
+
+    def _exchange(self, pool: Pool, stream: Stream, payload: AjpPayload) -> Result:
+        size, room = self.config.packet_size, self.config.packet_size - ajp.HEAD - 2
+        reuse, sent, found = False, 0, None
+        until = time.monotonic() + pool.server.reply_ms / 1000
+        secret = pool.server.secret.encode() if pool.server.secret else None
+        try:
+            data = ajp.packet(ajp.TO_CONTAINER, payload.forward.passed_on(secret))
+            if payload.forward.length:  # the first chunk follows unasked
+                sent = min(room, len(payload.body))
+                data += ajp.body_packet(payload.body[:sent])
+            stream.write(data)
+            body = bytearray()
+            while True:
+                left = until - time.monotonic()
+                if left <= 0:
+                    raise TimedOut
+                m = read_packet(stream, ajp.TO_SERVER, size, left)
+                kind = m[0] if m else 0
+                if kind == ajp.GET_BODY:
+                    piece = payload.body[sent:sent + min(room, ajp.Cursor(m, 1).u16())]
+                    sent += len(piece)
+                    stream.write(ajp.body_packet(piece))
+                elif kind == ajp.HEADERS and found is None:
+                    found = ajp.reply(m)
+                elif kind == ajp.BODY_CHUNK and found is not None:
+                    body += ajp.chunk(m)
+                    if len(body) > self.config.max_response:
+                        raise ajp.BadPacket("a response over the limit")
+                elif kind == ajp.END_RESPONSE and found is not None:
+                    reuse = ajp.Cursor(m, 1).byte() == 1
+                    break
+                else:
+                    raise ajp.BadPacket(f"an unexpected packet {kind}")
+            found.body = bytes(body)
+            outcome = Outcome.OK if found.status < 500 else Outcome.FAILED
+            return Result(outcome, found.body, found, success=200 <= found.status < 300)
+        except TimedOut:
+            return Result(Outcome.TIMED_OUT, success=False)
+        except (Closed, ajp.BadPacket) as error:
+            self.log.warning("AJP server failed", server=pool.server.name, why=repr(error))
+            return Result(Outcome.FAILED, success=False)
+        finally:
+            if reuse and not stream.buffer and not stream.ended and len(pool.idle) < pool.server.max_idle:
+                pool.idle.append((stream, time.monotonic()))
+            else:
+                stream.close()
+
+    def _sweep(self) -> None:
+        before = time.monotonic() - self.config.idle_s
+        for pool in self.pools:
+            for entry in [e for e in pool.idle if e[1] < before]:
+                pool.idle.remove(entry)
+                entry[0].close()
+        self.loop.call_later(1.0, self._sweep)
