--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -1,5 +1,6 @@
 """The command line, and how the parts of one worker are put together."""
 
+import argparse
 import logging
 import signal
 import sys
@@ -10,7 +11,11 @@
 from ochrehoist import config as configuration
 from ochrehoist.config import Config
 from ochrehoist.core.owner import Owner
-from ochrehoist.core.requests import Leaving
+from ochrehoist.core.requests import Booted, Leaving
+from ochrehoist.net import agent
+from ochrehoist.net.admin import Admin, ask
+from ochrehoist.net.ajp_front import AjpFront
+from ochrehoist.net.ajp_server import AjpServers
 from ochrehoist.net.kernel import Kernel
 from ochrehoist.net.loop import Loop, Signal
 from ochrehoist.net.members import Members
@@ -20,11 +25,12 @@
 MS = 1_000_000
 RESULT_SHARE = 0.25  # of the process memory, for the results of filings
 RESERVED = 24  # descriptors for all that is no accepted connection
+CONSOLE = 2 * agent.MAX_OPEN + 8  # and for the console and the checks, where they are on
 QUIET = 0.05  # s without a request in hand before a drained worker ends
 END_EARLY = 0.06  # s before it would be killed
 
 
-def start_log() -> structlog.stdlib.BoundLogger:
+def start_log() -> structlog.typing.FilteringBoundLogger:
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
                     structlog.processors.format_exc_info, structlog.processors.JSONRenderer()],
@@ -41,30 +47,74 @@
         self.loop = loop = Loop(self.log)
         self.owner = owner = Owner(
             config.settings, config.seed, Signal(loop), time.time_ns, self.log,
-            int(config.memory_mb * 1e6 * RESULT_SHARE), lambda: self.kernel.measure())
-        self.kernel = Kernel(loop, owner, config.kernel, config.gauges, self.log)
-        self.front = ThriftFront(loop, owner, self.kernel, config.listen, config.sockets - RESERVED, self.log)
-        self.members = Members(loop, owner, config.members, config.name, self.log)
-        owner.listeners += [self.front, self.members]
+            int(config.memory_mb * 1e6 * RESULT_SHARE), lambda: self.gauge_source.measure())
+        self.fronts: list[ThriftFront | AjpFront] = []
+        self.tasks = [owner.run]
+        room = config.sockets - RESERVED
+        if config.admin or config.agent or config.health:
+            room -= CONSOLE
+        if config.ajp:
+            servers = AjpServers(loop, owner, config.ajp, self.log)
+            self.gauge_source = servers
+            # What runs is bounded by the crowd that the cores survive, whatever the module learns.
+            room -= int(config.settings.cores * config.settings.tip_multiple)
+            room -= sum(s.max_idle for s in config.ajp.servers)
+            most = min(config.ajp.max_connections, room // 2 if config.listen else room)
+            if most < 1:
+                raise BadInput(f"setting limits.sockets: too few: {config.sockets}")
+            room -= most
+            self.fronts.append(AjpFront(loop, owner, servers, config.ajp, most, self.log))
+        if config.listen:
+            self.gauge_source = kernel = Kernel(loop, owner, config.kernel, config.gauges, self.log)
+            self.tasks.append(kernel.run)
+            self.fronts.append(ThriftFront(loop, owner, kernel, config.listen, room, self.log))
+        else:
+            owner.post(Booted(None, 0))
+        if config.members:
+            members = Members(loop, owner, config.members, config.name, self.log)
+            self.tasks.append(members.run)
+            owner.listeners.append(members)
+        owner.listeners += self.fronts
+        self.listeners: list = list(self.fronts)
+        if config.agent:
+            self.listeners.append(agent.AgentCheck(loop, owner, config.agent, self.log))
+        if config.health:
+            self.listeners.append(agent.HttpHealth(loop, owner, config.health, self.log))
+        self.admin = None
+        if config.admin:
+            self.admin = Admin(loop, config.admin, {"status": self.status, "drain": self.leave}, self.log)
+            self.listeners.append(self.admin)
+        self.started = time.monotonic()
         self.leaving_since: float | None = None
 
     def run(self) -> int:
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.on_signal(number, self.leave)
-        for task in (self.owner.run, self.kernel.run, self.members.run):
+        for task in self.tasks:
             self.loop.spawn(task)
-        host, port = self.front.listening.address
-        self.log.info("started", listen=f"{host}:{port}")
+        for part in self.listeners:
+            self.log.info("started", part=type(part).__name__, listen=part.listening.address)
         self.loop.run()
+        if self.admin:
+            self.admin.close()
         self.log.info("ended", served=self.owner.served, refused=self.owner.refused, failed=self.owner.failed)
         return 0
 
-    def leave(self) -> None:
+    def status(self) -> dict:
+        o = self.owner
+        return {"name": self.config.name, "state": agent.agent_line(o).decode().strip(),
+                "up_s": round(time.monotonic() - self.started, 1), "in_hand": o.owed,
+                "running": sum(r.started for r in o.live.values()), "served": o.served, "refused": o.refused,
+                "failed": o.failed, "keys": len(o.keys.runs), "result_bytes": o.keys.bytes,
+                "connections": {type(f).__name__: len(f.connections) for f in self.fronts}}
+
+    def leave(self) -> dict:
         if self.leaving_since is None:
             self.leaving_since = time.monotonic()
             self.log.info("leaving", stop_ms=self.config.stop_ms, in_hand=self.owner.owed)
             self.owner.post(Leaving(self.config.stop_ms * MS))
             self.loop.spawn(self._drain)
+        return {"state": "drain", "stop_ms": self.config.stop_ms}
 
     def _drain(self) -> None:
         """Answers all that was read, and ends as soon as no request can come any more."""
@@ -72,30 +122,66 @@
         # What comes later would not be run: from then on a refused connection tells as much.
         closing = min(self.leaving_since + self.config.settings.drain_grace / 1e9, stop - 0.3)
         self.loop.sleep(max(0.0, closing - time.monotonic()))
-        self.front.listening.stop()
+        for front in self.fronts:
+            front.listening.stop()
         quiet = 0.0
         while time.monotonic() < stop and quiet < QUIET:
-            for connection in list(self.front.connections):
-                if not connection.open:
-                    connection.farewell()
-            busy = self.owner.owed or self.owner.inbox or self.front.connections
+            for front in self.fronts:
+                front.end_idle()
+            busy = self.owner.owed or self.owner.inbox or any(f.connections for f in self.fronts)
             quiet = 0.0 if busy else quiet + 0.01
             self.loop.sleep(0.01)
         self.loop.stop()
 
 
+def serve(path: str | None) -> int:
+    config = configuration.load(path)
+    try:
+        worker = Worker(config)
+    except OSError as error:
+        raise BadInput(f"setting listen, or an address of the console: {error}") from None
+    return worker.run()
+
+
+def check(path: str) -> int:
+    config = configuration.load(path)
+    fronts = [name for name, on in (("Thrift", config.listen), ("AJP", config.ajp)) if on]
+    print(f"{path}: good; {config.name}, {len(config.settings.classes)} classes, fronts: {', '.join(fronts)}")
+    return 0
+
+
+def console(command: str, path: str | None) -> int:
+    config = configuration.load(path)
+    if config.admin is None:
+        raise BadInput("setting console.admin: missing")
+    try:
+        said = ask(config.admin, command)
+    except (OSError, ValueError) as error:
+        print(f"ochrehoist: no answer from the worker: {error}", file=sys.stderr)
+        return 1
+    for key, value in said.items():
+        print(f"{key:<14}{value}")
+    return 0
+
+
 def main(arguments: list[str]) -> int:
+    parser = argparse.ArgumentParser(prog="ochrehoist", description="An admission-controlling worker.")
+    parser.add_argument("--config", metavar="FILE", help="configuration, .toml (appliance) or .json")
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
+    commands.add_parser("run", help="serve in the foreground (the default)")
+    commands.add_parser("check", help="read a configuration and say what is wrong").add_argument("file")
+    commands.add_parser("status", help="ask the running worker how it is")
+    commands.add_parser("drain", help="let the running worker answer all it has read, and end")
+    given = parser.parse_args(arguments)
     try:
-        config = configuration.load()
+        if given.command == "check":
+            return check(given.file)
+        if given.command in ("status", "drain"):
+            return console(given.command, given.config)
+        return serve(given.config)
     except BadInput as error:
         print(f"ochrehoist: {error}", file=sys.stderr)
         return 2
-    try:
-        worker = Worker(config)
-    except OSError as error:
-        print(f"ochrehoist: setting listen: {error}", file=sys.stderr)
-        return 2
-    return worker.run()
 
 
 if __name__ == "__main__":
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -1,15 +1,59 @@
 """All configuration: read, checked and given defaults here and nowhere else. Messages name the faulty key."""
 
+import ipaddress
 import json
 import os
+import secrets
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from ochrehoist.interface import Settings
 from ochrehoist.settings import BadInput, Reader, settings_from
 
 Address = tuple[str, int]
+APPLIANCE_FILE = "deploy/ajp.toml"  # where nothing else is named
+MIN_PACKET, MAX_PACKET = 8192, 65536  # of AJP/1.3
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class AjpServer:
+    name: str
+    address: Address
+    secret: str | None
+    connect_ms: int
+    reply_ms: int
+    max_idle: int
+
+
+@dataclass(slots=True, frozen=True)
+class AjpRule:
+    uri: str
+    methods: frozenset[str]
+    kind: str
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class AjpConfig:
+    listen: Address
+    secret: str | None
+    packet_size: int
+    max_body: int
+    max_response: int
+    max_connections: int
+    idle_s: float
+    body_s: float
+    retry_ms: int
+    memory_kb: float
+    health_uri: bytes
+    tenant_header: bytes
+    default_tenant: str | None
+    key_header: bytes
+    retry_header: bytes
+    rules: tuple[AjpRule, ...]
+    servers: tuple[AjpServer, ...]
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
@@ -24,17 +68,56 @@
     listen: Address | None = None  # the platform's front
     kernel: Address | None = None
     members: Address | None = None
+    ajp: AjpConfig | None = None
+    admin: Address | str | None = None
+    agent: Address | None = None
+    health: Address | None = None
 
 
-def address(text: str, key: str) -> Address:
+# ---- values
+
+
+def _address(r: Reader, key: str, loopback: bool = False) -> Address | None:
+    if key not in r.data:
+        return None
+    text = r.text(key)
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise BadInput(f"setting {key}: not host:port: {text!r}")
-    return host, int(port)
+    if not colon or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise BadInput(f"setting {r.path}{key}: not host:port: {text!r}")
+    try:
+        if loopback and not ipaddress.IPv4Address(host).is_loopback:
+            raise BadInput(f"setting {r.path}{key}: not a loopback address: {text!r}")
+        return str(ipaddress.IPv4Address(host)), int(port)
+    except ValueError:
+        raise BadInput(f"setting {r.path}{key}: not an IPv4 address: {text!r}") from None
+
+
+def _required(r: Reader, key: str, loopback: bool = False) -> Address:
+    r.text(key)
+    return _address(r, key, loopback)
+
+
+def _header(r: Reader, key: str, default: str) -> bytes:
+    name = r.text(key, default)
+    if not name.isascii() or not name.isprintable() or set(name) & set(" :"):
+        raise BadInput(f"setting {r.path}{key}: not a header name: {name!r}")
+    return name.lower().encode()
+
 
+def _only(r: Reader, *known: str) -> Reader:
+    """A misspelt key would be a default taken unseen."""
+    for key in r.data:
+        if key not in known:
+            raise BadInput(f"setting {r.path}{key}: unknown")
+    return r
 
-def _address(r: Reader, key: str) -> Address | None:
-    return address(r.text(key), r.path + key) if key in r.data else None
+
+def _settings(raw: Reader) -> tuple[Settings, tuple[str, ...]]:
+    settings = settings_from(raw.data)
+    gauges = raw.part("FamilyInfo").items("OwnStats", [])
+    if not all(isinstance(g, str) for g in gauges):
+        raise BadInput(f"setting settings.FamilyInfo.OwnStats: unusable value {gauges!r}")
+    return settings, tuple(gauges)
 
 
 def _seed(r: Reader) -> int:
@@ -45,11 +128,101 @@
         raise BadInput(f"setting seed: not hexadecimal: {text!r}") from None
 
 
-def load(environment: Mapping[str, str] = os.environ) -> Config:
-    """The platform's configuration: the file EDGE_CONFIG names; EDGE_NAME and EDGE_LISTEN go before it."""
-    path = environment.get("EDGE_CONFIG")
-    if not path:
-        raise BadInput("setting EDGE_CONFIG: missing")
+# ---- the second front and the appliance
+
+
+def _rules(r: Reader, settings: Settings) -> tuple[AjpRule, ...]:
+    kinds, out = {c.name for c in settings.classes}, []
+    for at, data in enumerate(r.items("rules")):
+        rule = _only(Reader(data, f"{r.path}rules[{at}]."), "uri", "methods", "class")
+        kind, methods = rule.text("class"), rule.items("methods", [])
+        if kind not in kinds:
+            raise BadInput(f"setting {rule.path}class: unknown class {kind!r}")
+        if not all(isinstance(m, str) and m for m in methods):
+            raise BadInput(f"setting {rule.path}methods: unusable value {methods!r}")
+        uri = rule.text("uri")
+        if not uri.startswith("/"):
+            raise BadInput(f"setting {rule.path}uri: does not start with /: {uri!r}")
+        out.append(AjpRule(uri, frozenset(m.upper() for m in methods), kind))
+    return tuple(out)
+
+
+def _servers(r: Reader) -> tuple[AjpServer, ...]:
+    out = []
+    for at, data in enumerate(r.items("servers")):
+        server = _only(Reader(data, f"{r.path}servers[{at}]."), "address", "secret", "connect_ms", "reply_ms",
+                       "max_idle")
+        out.append(AjpServer(
+            name=server.text("address"), address=_required(server, "address", loopback=True),
+            secret=server.text("secret", None), connect_ms=server.whole("connect_ms", 500, least=1),
+            reply_ms=server.whole("reply_ms", 30_000, least=1), max_idle=server.whole("max_idle", 8)))
+    if not out:
+        raise BadInput(f"setting {r.path}servers: none named")
+    return tuple(out)
+
+
+def _ajp(r: Reader, settings: Settings) -> AjpConfig:
+    _only(r, "listen", "secret", "packet_size", "max_body", "max_response", "max_connections", "idle_s",
+          "body_s", "retry_ms", "memory_kb", "health_uri", "headers", "default_tenant", "rules", "servers")
+    packet = r.whole("packet_size", MIN_PACKET, least=MIN_PACKET)
+    if packet > MAX_PACKET:
+        raise BadInput(f"setting {r.path}packet_size: over {MAX_PACKET}: {packet}")
+    headers = _only(r.part("headers", {}), "tenant", "key", "retry")
+    tenant = r.text("default_tenant", None)
+    if tenant is not None and tenant not in {t.name for t in settings.tenants}:
+        raise BadInput(f"setting {r.path}default_tenant: unknown tenant {tenant!r}")
+    return AjpConfig(
+        listen=_required(r, "listen", loopback=True), secret=r.text("secret", None), packet_size=packet,
+        max_body=r.whole("max_body", 1 << 20), max_response=r.whole("max_response", 4 << 20, least=1),
+        max_connections=r.whole("max_connections", 256, least=1), idle_s=r.number("idle_s", 60, least=0.1),
+        body_s=r.number("body_s", 10, least=0.05), retry_ms=r.whole("retry_ms", 2000),
+        memory_kb=r.number("memory_kb", 24.0), health_uri=r.text("health_uri", "/healthz").encode(),
+        tenant_header=_header(headers, "tenant", "X-Tenant"), default_tenant=tenant,
+        key_header=_header(headers, "key", "Idempotency-Key"),
+        retry_header=_header(headers, "retry", "X-Retry"), rules=_rules(r, settings), servers=_servers(r))
+
+
+def _admin(r: Reader) -> Address | str | None:
+    text = r.text("admin", None)
+    if text is not None and text.startswith("unix:"):
+        if not Path(text[5:]).parent.is_dir():
+            raise BadInput(f"setting {r.path}admin: no such folder: {text!r}")
+        return text[5:]
+    return _address(r, "admin", loopback=True)
+
+
+def _toml(path: str, key: str) -> Reader:
+    try:
+        data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise BadInput(f"setting {key}: {path}: {error}") from None
+    return _only(Reader(data, ""), "name", "stop_ms", "limits", "ajp", "console", "settings")
+
+
+def _second_front(top: Reader, settings: Settings) -> dict[str, Any]:
+    console = _only(top.part("console", {}), "admin", "agent_check", "health")
+    return {"ajp": _ajp(top.part("ajp"), settings), "admin": _admin(console),
+            "agent": _address(console, "agent_check", True), "health": _address(console, "health", True)}
+
+
+def _common(top: Reader, seed: int) -> dict[str, Any]:
+    limits = top.part("limits", {})
+    settings, gauges = _settings(top.part("settings"))
+    return {"name": top.text("name"), "settings": settings, "gauges": gauges, "seed": seed,
+            "stop_ms": top.whole("stop_ms", 3000, least=1),
+            "memory_mb": limits.number("memory_mb", 192, least=1),
+            "sockets": limits.whole("sockets", 1024, least=64)}
+
+
+def load_appliance(path: str) -> Config:
+    """An appliance of its own: AJP in front, AJP servers behind."""
+    top = _toml(path, "OCHREHOIST_AJP")
+    common = _common(top, secrets.randbits(64))
+    return Config(**common, **_second_front(top, common["settings"]))
+
+
+def load_platform(path: str, environment: Mapping[str, str]) -> Config:
+    """The platform's file; EDGE_NAME and EDGE_LISTEN go before it. AJP is on only where a file is named."""
     try:
         data = json.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
@@ -58,12 +231,17 @@
     for variable, key in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen")):
         if environment.get(variable):
             top.data[key] = environment[variable]
-    limits, raw = top.part("limits", {}), top.part("settings")
-    gauges = raw.part("FamilyInfo").items("OwnStats", [])
-    if not all(isinstance(g, str) for g in gauges):
-        raise BadInput(f"setting settings.FamilyInfo.OwnStats: unusable value {gauges!r}")
-    return Config(
-        name=top.text("name"), settings=settings_from(raw.data), gauges=tuple(gauges), seed=_seed(top),
-        stop_ms=top.whole("stop_ms", 3000, least=1), memory_mb=limits.number("memory_mb", 192, least=1),
-        sockets=limits.whole("sockets", 1024, least=32), listen=_address(top, "listen"),
-        kernel=_address(top, "kernel"), members=_address(top, "members"))
+    common = _common(top, _seed(top))
+    second = environment.get("OCHREHOIST_AJP")
+    return Config(**common, listen=_required(top, "listen"), kernel=_required(top, "kernel"),
+                  members=_address(top, "members"),
+                  **(_second_front(_toml(second, "OCHREHOIST_AJP"), common["settings"]) if second else {}))
+
+
+def load(path: str | None = None, environment: Mapping[str, str] = os.environ) -> Config:
+    """The file named, else the platform's where EDGE_CONFIG names one, else the appliance's."""
+    if path and path.endswith(".json"):
+        return load_platform(path, environment)
+    if not path and environment.get("EDGE_CONFIG"):
+        return load_platform(environment["EDGE_CONFIG"], environment)
+    return load_appliance(path or environment.get("OCHREHOIST_AJP") or APPLIANCE_FILE)
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -55,6 +55,7 @@
         self.gauges: dict[str, float] = {}
         self.now = 0
         self.healthy = True
+        self.weight = 100  # per cent of its usual share that this worker asks for
         self.leave_at: int | None = None
         self.stop_at: int | None = None
         self.served = self.refused = self.failed = 0
@@ -105,7 +106,9 @@
         if self.controller is None or r.id in self.live:
             # Nothing ran: before the module is up, or where an id comes twice while the first is in hand.
             r.answered = True
-            return r.responder.failed(Reason.INTERNAL)
+            early = self.controller is None
+            return self._answer(r, lambda: r.responder.refused(SECOND, False) if early
+                                else r.responder.failed(Reason.INTERNAL))
         cls = self.settings.classes[r.kind]
         r.due = max(self.now, r.arrived + cls.deadline)
         if self.stop_at is not None:
@@ -300,6 +303,10 @@
     def _set_alarm(self, a: i.SetAlarm) -> None:
         heappush(self.alarms, (self.now + a.delay, a.token))
 
+    def _advise(self, a: i.Advise) -> None:
+        if self.settings.advice is i.Advice.WEIGHT:
+            self.weight = max(1, min(100, round(a.value * 100)))
+
     def _unsupported(self, a: i.Action) -> None:
         self.log.error("an action that this worker has no means for", action=type(a).__name__)
 
@@ -307,5 +314,5 @@
         i.Start: _start, i.Refuse: _refuse, i.Fail: _give_up, i.Keep: _keep, i.Forget: _forget, i.Join: _join,
         i.Health: lambda self, a: self._set_health(a.good), i.KeepAlive: _keep_alive, i.SetAlarm: _set_alarm,
         i.Log: lambda self, a: self.log.info("module", text=a.text),
-        i.Stop: _unsupported, i.Call: _unsupported, i.SkipCall: _unsupported, i.Advise: _unsupported,
+        i.Stop: _unsupported, i.Call: _unsupported, i.SkipCall: _unsupported, i.Advise: _advise,
     }
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -24,6 +24,7 @@
     outcome: Outcome
     body: bytes = b""
     detail: Any = None
+    success: bool = True  # to the caller, on any wire: a run may end well with an error
 
 
 class Responder(Protocol):
--- a/ochrehoist/net/admin.py
+++ b/ochrehoist/net/admin.py
@@ -19,8 +19,9 @@
 class Admin:
     """`commands` are looked up by name; each gives what is said back."""
 
-    def __init__(self, loop: Loop, address: Address, commands: dict[str, Callable[[], dict]], log: Any) -> None:
-        self.loop, self.address, self.commands, self.log = loop, address, commands, log
+    def __init__(self, loop: Loop, address: Address, commands: dict[str, Callable[[], dict]],
+                 log: Any) -> None:
+        self.loop, self.address, self.commands = loop, address, commands
         self.listening = Listening(loop, address, self._accepted, MAX_OPEN, log)
 
     def _accepted(self, sock: socket.socket) -> Callable[[], None]:
--- a/ochrehoist/net/agent.py
+++ b/ochrehoist/net/agent.py
@@ -16,7 +16,7 @@
 
 
 def agent_line(owner: Owner) -> bytes:
-    """The state as HAProxy reads it. The module's Health decides; the weight is what it advises, if it does."""
+    """The state as HAProxy reads it. The module's Health decides, and its advice the weight, if any."""
     if owner.leave_at is not None:
         return b"drain\n"
     if not owner.healthy:
@@ -78,9 +78,10 @@
                     status, text = (b"200 OK", b"up\n") if good else (b"503 Service Unavailable", b"down\n")
                 else:  # what it may carry is not read: this connection ends here
                     status, text, keep = b"405 Method Not Allowed\r\nAllow: GET, HEAD", b"", False
-                stream.write(b"HTTP/1.1 %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: %s"
-                             b"\r\n\r\n%s" % (status, len(text), b"keep-alive" if keep else b"close",
-                                              b"" if method == b"HEAD" else text))
+                head = (b"HTTP/1.1 %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n"
+                        b"Connection: %s\r\n\r\n")
+                stream.write(head % (status, len(text), b"keep-alive" if keep else b"close")
+                             + (b"" if method == b"HEAD" else text))
                 if not keep:
                     stream.close_when_sent()
         except (Closed, TimedOut):
--- a/ochrehoist/net/ajp.py
+++ b/ochrehoist/net/ajp.py
@@ -14,12 +14,13 @@
 
 METHODS = (
     "", "OPTIONS", "GET", "HEAD", "POST", "PUT", "DELETE", "TRACE", "PROPFIND", "PROPPATCH", "MKCOL", "COPY",
-    "MOVE", "LOCK", "UNLOCK", "ACL", "REPORT", "VERSION-CONTROL", "CHECKIN", "CHECKOUT", "UNCHECKOUT", "SEARCH",
-    "MKWORKSPACE", "UPDATE", "LABEL", "MERGE", "BASELINE-CONTROL", "MKACTIVITY")
+    "MOVE", "LOCK", "UNLOCK", "ACL", "REPORT", "VERSION-CONTROL", "CHECKIN", "CHECKOUT", "UNCHECKOUT",
+    "SEARCH", "MKWORKSPACE", "UPDATE", "LABEL", "MERGE", "BASELINE-CONTROL", "MKACTIVITY")
 STORED_METHOD = 0xFF
 REQUEST_HEADERS = (
-    b"", b"accept", b"accept-charset", b"accept-encoding", b"accept-language", b"authorization", b"connection",
-    b"content-type", b"content-length", b"cookie", b"cookie2", b"host", b"pragma", b"referer", b"user-agent")
+    b"", b"accept", b"accept-charset", b"accept-encoding", b"accept-language", b"authorization",
+    b"connection", b"content-type", b"content-length", b"cookie", b"cookie2", b"host", b"pragma",
+    b"referer", b"user-agent")
 CONTENT_TYPE, CONTENT_LENGTH = 0xA001, 0xA003  # names of response headers
 A_REQ_ATTRIBUTE, A_KEY_SIZE, A_SECRET, A_STORED_METHOD, A_END = 0x0A, 0x0B, 0x0C, 0x0D, 0xFF
 
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -1,4 +1,4 @@
-"""The AJP front: web servers and balancers connect here; each request goes through the same core as Thrift's."""
+"""The AJP front: web servers connect here; each request goes through the same core as Thrift's."""
 
 import hmac
 import itertools
@@ -101,7 +101,8 @@
 
     def refused(self, backoff: int, no_retry: bool) -> None:
         seconds = max(1, -(-backoff // S))
-        self.plain(HTTPStatus.SERVICE_UNAVAILABLE, "turned away, never run", ((b"Retry-After", b"%d" % seconds),))
+        self.plain(HTTPStatus.SERVICE_UNAVAILABLE, "turned away, never run",
+                   ((b"Retry-After", b"%d" % seconds),))
 
     def failed(self, reason: Reason, result: Result | None = None) -> None:
         if result is not None and isinstance(result.detail, ajp.Reply):
--- a/ochrehoist/net/ajp_server.py
+++ b/ochrehoist/net/ajp_server.py
@@ -91,7 +91,7 @@
         return iter(sorted(self.pools, key=lambda p: (now - p.failed_at < retry, p.busy)))
 
     def _connection(self, pool: Pool) -> Stream | None:
-        """One that is known to be alive: a pooled one answers a CPing first, since it may have been closed."""
+        """One that is known to be alive: a pooled one, which may have been closed, answers a CPing first."""
         while pool.idle:
             stream, _ = pool.idle.pop()
             with suppress(Closed, TimedOut, ajp.BadPacket):
--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -12,7 +12,7 @@
 
 
 class Listening:
-    def __init__(self, loop: Loop, address: tuple[str, int],
+    def __init__(self, loop: Loop, address: tuple[str, int] | str,
                  accepted: Callable[[socket.socket], Callable[[], None]], limit: int, log: Any) -> None:
         self.loop, self.accepted, self.limit, self.log = loop, accepted, limit, log
         self.sock = listen(address)
@@ -20,7 +20,7 @@
         self._resume()
 
     @property
-    def address(self) -> tuple[str, int]:
+    def address(self) -> tuple[str, int] | str:
         return self.sock.getsockname()
 
     def full(self) -> bool:
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -118,8 +118,9 @@
         self.connection.answer(self.seqid, thrift.reply(INVOKE, self.seqid, field_id, value))
 
     def served(self, result: Result) -> None:
-        if len(result.body) > MAX_RESULT:  # this wire can't carry it; a run of another front made it
-            return self._reply(2, thrift.problem({b"reason": b"result too large"}))
+        if not result.success or len(result.body) > MAX_RESULT:
+            # A run of another front made it: an error there, or more than this wire can carry.
+            return self._reply(2, thrift.problem({b"reason": b"no result that this protocol can carry"}))
         self._reply(0, thrift.answer(result.body, {}, True))
 
     def refused(self, backoff: int, no_retry: bool) -> None:
@@ -270,3 +271,8 @@
         for c in list(self.connections):
             if not c.open and not c.checks_only:
                 c.farewell()
+
+    def end_idle(self) -> None:
+        for c in list(self.connections):
+            if not c.open:
+                c.farewell()
--- a/ochrehoist/settings.py
+++ b/ochrehoist/settings.py
@@ -58,8 +58,10 @@
             raise self._bad(key, value)
         return value
 
-    def text(self, key):
-        value = self._get(key, REQUIRED)
+    def text(self, key, default=REQUIRED):
+        value = self._get(key, default)
+        if value is None or value is default:
+            return value
         if not isinstance(value, str) or not value:
             raise self._bad(key, value)
         return value
