--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -12,7 +12,7 @@
 from ochrehoist.config import AjpConfig
 from ochrehoist.core.owner import Owner
 from ochrehoist.core.requests import Arrived, Executor, Gone, Inbound, Reason, Result
-from ochrehoist.interface import Repeat
+from ochrehoist.interface import Outcome, Repeat
 from ochrehoist.net import ajp
 from ochrehoist.net.ajp_server import AjpPayload, read_packet
 from ochrehoist.net.listener import Listening
@@ -107,7 +107,7 @@
     def failed(self, reason: Reason, result: Result | None = None) -> None:
         if result is not None and isinstance(result.detail, ajp.Reply):
             return self._respond(result.detail.headers, result.body)  # the server's own error page
-        if reason is Reason.GIVEN_UP:
+        if reason is Reason.GIVEN_UP or (result is not None and result.outcome is Outcome.TIMED_OUT):
             self.plain(HTTPStatus.GATEWAY_TIMEOUT, reason.value)
         elif reason is Reason.EXECUTOR:
             self.plain(HTTPStatus.BAD_GATEWAY, reason.value)
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,489 @@
+"""The real program as a process, and small stand-ins for all it talks to. Every wait ends by itself."""
+
+import base64
+import json
+import os
+import queue
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+PATIENCE = 10  # s after which a wait has failed
+MS = 1_000_000
+
+
+def settings(**changes):
+    base = {
+        "Classes": [
+            {"Name": "read", "Slo": 900 * MS, "Deadline": 1800 * MS, "Gain": 1.0, "Repeat": "idempotent"},
+            {"Name": "filing", "Slo": 900 * MS, "Deadline": 1800 * MS, "Gain": 3.0, "Repeat": "deduplicated",
+             "Window": 20_000 * MS}],
+        "FamilyInfo": {"Cores": 2, "HeapKb": 90000.0, "RunFactor": 4.0, "KeyKb": 10.0, "Callers": 2,
+                       "TellsGone": True, "Idle": 30_000 * MS, "OwnStats": ["cpu_busy", "runnable"]},
+        "FleetSize": 2, "ResultMix": {"Whole": 1.0}, "Step": MS,
+        "PolicyLimits": {"RetryAfter": True, "MaxRetryAfter": 1000 * MS},
+        "Tenants": [{"Name": "acme", "QuotaPerS": 100.0, "Fraction": 1.0}],
+        "Rules": {"Cold": 1000 * MS, "ColdFrom": 0.3, "DrainGrace": 300 * MS, "Fall": 1000 * MS,
+                  "GraceToAnswer": 80 * MS, "TipMultiple": 5.0},
+    }
+    return base | changes
+
+
+def toml(value):
+    """Enough TOML for a configuration: JSON's scalars and arrays are TOML's, objects become inline tables."""
+    if isinstance(value, dict):
+        return "{" + ", ".join(f"{k} = {toml(v)}" for k, v in value.items()) + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(toml, value)) + "]"
+    return json.dumps(value)
+
+
+class Listener:
+    """A loopback server; each connection gets a thread."""
+
+    def __init__(self, port=0):
+        self.sock = socket.create_server(("127.0.0.1", port))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        self.links = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            self.links.append(sock)
+            threading.Thread(target=self._guard, args=(sock,), daemon=True).start()
+
+    def _guard(self, sock):
+        try:
+            self.talk(sock)
+        except (OSError, EOFError, ValueError):
+            pass
+
+    def drop_links(self):
+        """Ends what is open now."""
+        for sock in self.links:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self.links.clear()
+
+    def refuse(self):
+        """Refuses connections from now on; an accept that waits would else keep the port open."""
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self.sock.close()
+
+    def close(self):
+        self.refuse()
+        self.drop_links()
+
+
+class Kernel(Listener):
+    """Runs nothing by itself: a test takes what is scheduled and reaps it."""
+
+    def __init__(self):
+        self.notices, self.scheduled, self.opened, self.out = [], queue.Queue(), queue.Queue(), None
+        self.lock = threading.Lock()
+        super().__init__()
+
+    def come_back(self):
+        super().__init__(int(self.address.split(":")[1]))
+
+    def talk(self, sock):
+        for line in sock.makefile("rb"):
+            m = json.loads(line)
+            if m["cmd"] == "OPEN":
+                with self.lock:
+                    self.out = sock
+                    self._say(cmd="BOOTED", result="WARM", elapsed_ms=5000)
+                    for notice in self.notices[m["offset"]:]:
+                        self._say(**notice)
+                self.opened.put(m["offset"])
+            elif m["cmd"] == "SYSINFO":
+                with self.lock:
+                    self._say(cmd="INFO", token=m["token"], load=[0.5, 1.0])
+            else:
+                self.scheduled.put((m["req"], m["method"], base64.b64decode(m["payload"])))
+
+    def _say(self, **notice):
+        try:
+            self.out.sendall(json.dumps(notice).encode() + b"\n")
+        except OSError:
+            pass
+
+    def next(self):
+        return self.scheduled.get(timeout=PATIENCE)
+
+    def reap(self, rid, end="OK", body=b"", say=True):
+        with self.lock:
+            self.notices.append({"cmd": "REAP", "offset": len(self.notices) + 1, "req": rid, "result": end,
+                                 "elapsed_ms": 20, "payload": base64.b64encode(body).decode()})
+            if say:
+                self._say(**self.notices[-1])
+
+
+class Members(Listener):
+    def __init__(self):
+        self.reports = queue.Queue()
+        super().__init__()
+
+    def talk(self, sock):
+        lines = sock.makefile("rb")
+        while line := lines.readline():
+            length = 0
+            while (head := lines.readline().strip().lower()) != b"":
+                length = int(head[15:]) if head.startswith(b"content-length:") else length
+            self.reports.put((line.split()[1].decode(), json.loads(lines.read(length))["phase"]))
+            sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+    def wait_for(self, phase):
+        while (report := self.reports.get(timeout=PATIENCE))[1] != phase:
+            pass
+        return report
+
+
+def read_exactly(sock, count):
+    data = b""
+    while len(data) < count:
+        piece = sock.recv(count - len(data))
+        if not piece:
+            raise EOFError
+        data += piece
+    return data
+
+
+def text(data):
+    data = data if isinstance(data, bytes) else data.encode()
+    return struct.pack(">i", len(data)) + data
+
+
+class Thrift:
+    """A router's connection. `answer` gives (kind, fields, body): Answer, Throttled, Broken or Exception."""
+
+    count = 0
+
+    def __init__(self, address):
+        host, port = address
+        self.sock = socket.create_connection((host, port), timeout=PATIENCE)
+        self.seqid, self.early, self.farewelled = 0, {}, False
+
+    def send(self, name, args, kind=1, raw=None):
+        self.seqid += 1
+        data = raw or struct.pack(">I", 0x80010000 | kind) + text(name) + struct.pack(">i", self.seqid) + args
+        self.sock.sendall(struct.pack(">I", len(data)) + data)
+        return self.seqid
+
+    def invoke(self, method="read", body=b"", drop=(), **fields):
+        Thrift.count += 1
+        values = {"method": method, "rid": f"{Thrift.count:016x}", "t0": str(time.time_ns() // MS),
+                  "peer": "1", "acct": "acme", "est": "20.0", "mem": "20.0", "prio": "0.5"} | fields
+        values = {k: v for k, v in values.items() if k not in drop}
+        packed = b"".join(text(k) + text(v) for k, v in values.items())
+        return self.send("invoke", b"\x0d\0\1\x0b\x0b" + struct.pack(">i", len(values)) + packed
+                         + b"\x0b\0\2" + text(body) + b"\0")
+
+    def abort(self, seqid):
+        self.send("abort", b"\x08\0\1" + struct.pack(">i", seqid) + b"\0", kind=4)
+
+    def ping(self):
+        return self.answer(self.send("ping", b"\x02\0\1\0\0"))
+
+    def _struct(self, data, at):
+        out = {}
+        while (kind := data[at]) != 0:
+            number, at = struct.unpack_from(">h", data, at + 1)[0], at + 3
+            if kind == 2:
+                out[number], at = bool(data[at]), at + 1
+            elif kind == 8:
+                out[number], at = struct.unpack_from(">i", data, at)[0], at + 4
+            elif kind == 11:
+                size = struct.unpack_from(">i", data, at)[0]
+                out[number], at = data[at + 4:at + 4 + size], at + 4 + size
+            elif kind == 12:
+                out[number], at = self._struct(data, at)
+            else:
+                count, at, strings = struct.unpack_from(">i", data, at + 2)[0], at + 6, []
+                for _ in range(2 * count):
+                    size = struct.unpack_from(">i", data, at)[0]
+                    strings.append(data[at + 4:at + 4 + size].decode())
+                    at += 4 + size
+                out[number] = dict(zip(strings[::2], strings[1::2], strict=True))
+        return out, at + 1
+
+    def farewell(self):
+        """Waits for the farewell and closes, as a router does."""
+        if not self.farewelled:
+            self.answer(None)
+        self.close()
+
+    def answer(self, seqid):
+        while seqid not in self.early:
+            data = read_exactly(self.sock, struct.unpack(">I", read_exactly(self.sock, 4))[0])
+            size = struct.unpack_from(">i", data, 4)[0]
+            at = 8 + size
+            if data[8:at] == b"farewell":
+                self.farewelled = True
+                if seqid is None:
+                    return None
+                continue
+            got = struct.unpack_from(">i", data, at)[0]
+            value = self._struct(data, at + 4)[0]
+            assert got not in self.early, "a second answer"
+            if data[3] == 3:
+                self.early[got] = ("Exception", {}, value[1])
+            else:
+                (field, inner), = value.items()
+                self.early[got] = (("Answer", inner[2], inner[1]), ("Throttled", inner[1], b""),
+                                   ("Broken", inner[1], b""))[field] if field == 0 \
+                    else (("Throttled", "Broken")[field - 1], inner[1], b"")
+        return self.early[seqid]
+
+    def call(self, *args, **fields):
+        return self.answer(self.invoke(*args, **fields))
+
+    def close(self):
+        self.sock.close()
+
+
+def ajp_text(data):
+    data = data if isinstance(data, bytes) else data.encode()
+    return struct.pack(">H", len(data)) + data + b"\0"
+
+
+def ajp_packet(magic, data):
+    return magic + struct.pack(">H", len(data)) + data
+
+
+def ajp_read(sock, magic):
+    head = read_exactly(sock, 4)
+    assert head[:2] == magic, head
+    return read_exactly(sock, struct.unpack(">H", head[2:])[0])
+
+
+class Ajp:
+    """A web server's connection."""
+
+    codes = {"GET": 2, "HEAD": 3, "POST": 4}
+
+    def __init__(self, address):
+        self.sock = socket.create_connection(tuple(address), timeout=PATIENCE)
+
+    def forward(self, method="GET", uri="/reads/1", headers=(), length=None, secret=None):
+        named = [(n, v) for n, v in dict(headers).items()]
+        out = b"\2" + bytes((self.codes[method],)) + b"".join(
+            ajp_text(t) for t in ("HTTP/1.1", uri, "127.0.0.1", "client", "site")) + struct.pack(">HB", 80, 0)
+        out += struct.pack(">H", len(named) + (length is not None))
+        out += b"".join(ajp_text(n) + ajp_text(v) for n, v in named)
+        if length is not None:
+            out += b"\xa0\x08" + ajp_text(str(length))
+        out += b"\x05" + ajp_text("a=1") + (b"\x0c" + ajp_text(secret) if secret else b"") + b"\xff"
+        self.sock.sendall(ajp_packet(b"\x12\x34", out))
+
+    def chunk(self, data):
+        self.sock.sendall(ajp_packet(b"\x12\x34", struct.pack(">H", len(data)) + data if data else b""))
+
+    def asked_for(self):
+        """How much of a body the other side asks for next."""
+        m = ajp_read(self.sock, b"AB")
+        assert m[0] == 6, m
+        return struct.unpack_from(">H", m, 1)[0]
+
+    def request(self, method="GET", uri="/reads/1", headers=(), body=None, secret=None):
+        self.forward(method, uri, headers, None if body is None else len(body), secret)
+        if body:
+            self.chunk(body[:8186])
+
+    def answer(self, rest=b""):
+        """Status, headers (those sent by name or by code), body; `rest` is given out as it is asked for."""
+        status, headers, body = None, {}, b""
+        while True:
+            m = ajp_read(self.sock, b"AB")
+            if m[0] == 6:
+                size = struct.unpack_from(">H", m, 1)[0]
+                self.chunk(rest[:size])
+                rest = rest[size:]
+            elif m[0] == 4:
+                status, size = struct.unpack_from(">HH", m, 1)
+                at = 5 + size + 1
+                count, at = struct.unpack_from(">H", m, at)[0], at + 2
+                for _ in range(count):
+                    pair = []
+                    for _ in "nv":
+                        size = struct.unpack_from(">H", m, at)[0]
+                        if size >> 8 == 0xA0:
+                            pair.append(size)
+                            at += 2
+                        else:
+                            pair.append(m[at + 2:at + 2 + size].decode())
+                            at += size + 3
+                    headers[pair[0]] = pair[1]
+            elif m[0] == 3:
+                body += m[3:3 + struct.unpack_from(">H", m, 1)[0]]
+            else:
+                assert m[0] == 5
+                self.reuse = bool(m[1])
+                return status, headers, body
+
+    def call(self, *args, rest=b"", **how):
+        self.request(*args, **how)
+        return self.answer(rest)
+
+    def cping(self):
+        self.sock.sendall(ajp_packet(b"\x12\x34", b"\x0a"))
+        return ajp_read(self.sock, b"AB") == b"\x09"
+
+    def close(self):
+        self.sock.close()
+
+
+class AjpServer(Listener):
+    """Takes requests; a test takes each as (packet, body, respond) and says what happens to it."""
+
+    def __init__(self, port=0):
+        self.got, self.pings = queue.Queue(), 0
+        super().__init__(port)
+
+    def talk(self, sock):
+        while True:
+            packet = ajp_read(sock, b"\x12\x34")
+            if packet[0] == 10:
+                self.pings += 1
+                sock.sendall(ajp_packet(b"AB", b"\x09"))
+                continue
+            body, at = b"", packet.find(b"\xa0\x08")
+            length = int(packet[at + 4:packet.index(b"\0", at + 4)]) if at >= 0 else 0
+            chunked = b"chunked" in packet
+            first = True
+            while len(body) < length or chunked:
+                if not first or chunked:
+                    sock.sendall(ajp_packet(b"AB", b"\x06" + struct.pack(">H", 8186)))
+                first, data = False, ajp_read(sock, b"\x12\x34")
+                if not data:
+                    break
+                body += data[2:]
+            done = threading.Event()
+
+            def respond(status=200, data=b"", done=done):
+                head = struct.pack(">BH", 4, status) + ajp_text("Fine") + struct.pack(">H", 1) \
+                    + ajp_text("X-Made-By") + ajp_text("server")
+                parts = [data[n:n + 8000] for n in range(0, len(data), 8000)]
+                sock.sendall(ajp_packet(b"AB", head) + b"".join(
+                    ajp_packet(b"AB", b"\3" + struct.pack(">H", len(p)) + p + b"\0") for p in parts)
+                    + ajp_packet(b"AB", b"\5\1"))
+                done.set()
+
+            def cut(done=done):
+                sock.shutdown(socket.SHUT_RDWR)
+                done.set()
+
+            respond.cut = cut
+            self.got.put((packet, body, respond))
+            done.wait(PATIENCE)
+
+    def next(self):
+        return self.got.get(timeout=PATIENCE)
+
+
+def run(*arguments, env=None):
+    return subprocess.run([sys.executable, "-m", "ochrehoist", *arguments], cwd=ROOT, env=env,
+                          capture_output=True, text=True, timeout=PATIENCE)
+
+
+class Program:
+    """python -m ochrehoist, with stand-ins behind it; fronts are on as asked for."""
+
+    def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, **more):
+        self.folder = tempfile.TemporaryDirectory()
+        self.kernel, self.members, self.server = Kernel(), Members(), AjpServer()
+        site, limits = site or settings(), {"memory_mb": 64, "sockets": sockets}
+        env = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "OCHREHOIST_"))}
+        front = {"listen": "127.0.0.1:0", "rules": [
+            {"uri": "/reads/*", "class": "read"},
+            {"uri": "/filings*", "methods": ["POST"], "class": "filing"}],
+            "servers": [{"address": self.server.address, "reply_ms": 1200}], "body_s": 3.0} | more
+        if secret:
+            front["secret"] = secret
+        self.admin = f"{self.folder.name}/admin.sock"
+        console = {"admin": f"unix:{self.admin}", "agent_check": "127.0.0.1:0", "health": "127.0.0.1:0"}
+        top = {"name": "n1", "stop_ms": stop_ms, "limits": limits}
+        if ajp:
+            whole = top | {"ajp": front, "console": console, "settings": site}
+            env["OCHREHOIST_AJP"] = self.file("ajp.toml", "\n".join(f"{k} = {toml(whole[k])}" for k in whole))
+        if thrift:
+            env["EDGE_CONFIG"] = self.file("config.json", json.dumps(top | {
+                "listen": "127.0.0.1:0", "kernel": self.kernel.address, "members": self.members.address,
+                "seed": "8c1f30d27a5be964", "settings": site}))
+        self.env, self.lines, self.at = env, [], {}
+        self.process = subprocess.Popen([sys.executable, "-m", "ochrehoist"], cwd=ROOT, env=env,
+                                        stderr=subprocess.PIPE, text=True)
+        self.started = threading.Event()
+        self.expected = thrift + 4 * ajp
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
+        assert self.started.wait(PATIENCE), self.lines
+        if thrift:
+            self.kernel.opened.get(timeout=PATIENCE)
+
+    def file(self, name, content):
+        path = Path(self.folder.name, name)
+        path.write_text(content)
+        return str(path)
+
+    def _read(self):
+        for line in self.process.stderr:
+            self.lines.append(json.loads(line))
+            if self.lines[-1]["event"] == "started":
+                self.at[self.lines[-1]["part"]] = self.lines[-1]["listen"]
+            if len(self.at) == self.expected:
+                self.started.set()
+
+    def thrift(self):
+        return Thrift(self.at["ThriftFront"])
+
+    def ajp(self):
+        return Ajp(self.at["AjpFront"])
+
+    def console(self, *command):
+        return run("--config", self.env["OCHREHOIST_AJP"], *command, env=self.env)
+
+    def wait_for(self, good):
+        """Until the console's status fits; each question is a round trip, not a sleep."""
+        until = time.monotonic() + PATIENCE
+        while time.monotonic() < until:
+            with socket.socket(socket.AF_UNIX) as sock:
+                sock.connect(self.admin)
+                sock.sendall(b"status\n")
+                said = json.loads(sock.makefile().readline())
+            if good({k: str(v) for k, v in said.items()}):
+                return
+        raise AssertionError(said)
+
+    def said(self, event):
+        return [line for line in self.lines if line["event"] == event]
+
+    def ended(self):
+        code = self.process.wait(PATIENCE)
+        self.reader.join(PATIENCE)
+        return code
+
+    def close(self):
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.reader.join(PATIENCE)
+        self.process.stderr.close()
+        for part in (self.kernel, self.members, self.server):
+            part.close()
+        self.folder.cleanup()
--- /dev/null
+++ b/tests/test_ajp_front.py
@@ -0,0 +1,286 @@
+"""The real program as an appliance: web servers in front and AJP servers behind are stand-ins."""
+
+import signal
+import socket
+import struct
+import time
+import unittest
+
+from stand_ins import AjpServer, ajp_packet
+from test_thrift_front import Case
+
+
+class AjpCase(Case):
+    how = {"thrift": False, "ajp": True}
+
+    def setUp(self):
+        super().setUp()
+        self.server = self.program.server
+
+
+class Path(AjpCase):
+    def test_a_request_goes_to_the_server_unchanged_and_its_response_comes_back(self):
+        web, page = self.program.ajp(), bytes(range(256)) * 100
+        web.request("GET", "/reads/7", {"X-Tenant": "acme", "X-More": "kept"})
+        packet, body, respond = self.server.next()
+        self.assertIn(b"X-More\0\0\4kept", packet)
+        self.assertTrue(packet.endswith(b"\x05" + struct.pack(">H", 3) + b"a=1\0\xff"))
+        self.assertEqual(body, b"")
+        respond(200, page)
+        self.assertEqual(web.answer(), (200, {"X-Made-By": "server"}, page))
+        self.assertTrue(web.reuse)
+
+    def test_bodies_stream_in_by_chunks_with_and_without_a_length(self):
+        web, body = self.program.ajp(), bytes(range(256)) * 100
+        for number, headers in enumerate(({}, {"Transfer-Encoding": "chunked"})):
+            if headers:
+                web.forward("POST", "/reads/8", headers)
+            else:
+                web.request("POST", "/reads/8", body=body)
+            rest, piece = body if headers else body[8186:], b"-"
+            while piece and (rest or headers):
+                size = web.asked_for()
+                piece, rest = rest[:size], rest[size:]
+                web.chunk(piece)
+            _, got, respond = self.server.next()
+            self.assertEqual(got, body)
+            respond(201, b"made")
+            self.assertEqual(web.answer()[::2], (201, b"made"))
+            self.assertEqual(len(self.server.links), 1)  # pooled
+            self.assertEqual(self.server.pings, number)  # and checked before it is used again
+
+    def test_what_the_front_turns_away_itself(self):
+        for status, how in ((404, {"uri": "/none"}), (404, {"uri": "/filings", "method": "GET"}),
+                            (400, {"uri": "/filings", "method": "POST", "body": b"no key"}),
+                            (400, {"headers": {"X-Tenant": "who"}}),
+                            (413, {"method": "POST", "body": b"x" * (1 << 20 | 1)})):
+            with self.subTest(how=str(how)[:60]):
+                web = self.program.ajp()
+                self.assertEqual(web.call(**how)[0], status)
+                self.assertEqual(web.call("GET", "/healthz")[0], 200)  # the connection is still in step
+        self.assertTrue(self.server.got.empty())
+
+    def test_a_body_over_the_limit_whose_length_is_not_told(self):
+        web = self.program.ajp()
+        web.forward("POST", "/reads/1", {"Transfer-Encoding": "chunked"})
+        self.assertEqual(web.answer(b"x" * (1 << 20 | 1))[0], 413)
+        self.assertTrue(self.server.got.empty())
+
+    def test_a_head_request_gets_no_body(self):
+        web = self.program.ajp()
+        self.assertEqual(web.call("HEAD", "/none")[::2], (404, b""))
+
+
+class Overload(AjpCase):
+    def test_refusals_are_503_with_retry_after_and_what_is_given_up_is_504(self):
+        crowd = [self.program.ajp() for _ in range(20)]
+        began = time.monotonic()
+        for web in crowd:
+            web.request()
+        answers = [web.answer() for web in crowd]
+        self.assertLess(time.monotonic() - began, 1.8 + 0.5)
+        self.assertEqual({status for status, _, _ in answers}, {503, 504})
+        for status, headers, _ in answers:
+            if status == 503:
+                self.assertGreaterEqual(int(headers["Retry-After"]), 1)
+
+
+class Cut(AjpCase):
+    def test_a_body_cut_off_midway_runs_nothing(self):
+        web = self.program.ajp()
+        web.forward("POST", "/filings", {"Idempotency-Key": "k"}, length=20_000)
+        web.chunk(b"x" * 8186)
+        self.assertEqual(web.asked_for(), 8186)
+        web.close()
+        other = self.program.ajp()
+        other.forward("POST", "/filings", {"Idempotency-Key": "k"}, length=4)
+        other.chunk(b"good")
+        _, body, respond = self.server.next()
+        self.assertEqual(body, b"good")
+        respond()
+        self.assertEqual(other.answer()[0], 200)
+        self.assertTrue(self.server.got.empty())
+
+    def test_a_client_that_leaves_while_it_waits_is_not_run(self):
+        running = [self.program.ajp() for _ in range(2)]
+        for web in running:
+            web.request()
+        responds = [self.server.next()[2] for _ in running]
+        held = self.program.ajp()
+        held.request("GET", "/reads/held")
+        self.program.wait_for(lambda status: status["in_hand"] == "3")
+        held.close()
+        self.program.wait_for(lambda status: status["in_hand"] == "2")
+        for respond in responds:
+            respond()
+        last = self.program.ajp()
+        last.request("GET", "/reads/last")
+        packet, _, respond = self.server.next()
+        self.assertIn(b"/reads/last", packet)
+        respond()
+        self.assertEqual(last.answer()[0], 200)
+
+    def test_bad_packets_end_their_own_connection_only(self):
+        good = self.program.ajp()
+        for data in (b"GET / HTTP/1.1\r\n", b"\x12\x34\xff\xff", ajp_packet(b"\x12\x34", b"\2\2\xff\xf0"),
+                     ajp_packet(b"\x12\x34", b"\2\xfe" + b"\0" * 40), ajp_packet(b"\x12\x34", b"\x63"),
+                     ajp_packet(b"\x12\x34", b"")):
+            bad = self.program.ajp()
+            bad.sock.sendall(data)
+            with self.assertRaises(EOFError):
+                bad.answer()
+        self.assertTrue(good.cping())
+
+
+class Servers(AjpCase):
+    def test_a_server_that_cuts_off_is_502_and_is_not_asked_again(self):
+        web = self.program.ajp()
+        web.request()
+        self.server.next()[2].cut()
+        self.assertEqual(web.answer()[0], 502)
+        self.assertTrue(self.server.got.empty())
+
+    def test_a_server_out_of_reach_is_502_and_one_that_comes_back_is_used(self):
+        web = self.program.ajp()
+        self.server.refuse()
+        self.assertEqual(web.call()[0], 502)
+        again = AjpServer(int(self.server.address.split(":")[1]))
+        self.addCleanup(again.close)
+        web.request()
+        again.next()[2](200, b"back")
+        self.assertEqual(web.answer()[::2], (200, b"back"))
+
+    def test_a_servers_own_error_page_comes_through(self):
+        web = self.program.ajp()
+        web.request()
+        self.server.next()[2](500, b"oops")
+        self.assertEqual(web.answer()[::2], (500, b"oops"))
+
+    def test_a_reply_that_does_not_come_is_504(self):
+        web = self.program.ajp()
+        web.request()
+        self.server.next()
+        self.assertEqual(web.answer()[0], 504)
+
+
+class Secret(AjpCase):
+    how = AjpCase.how | {"secret": "open sesame"}
+
+    def test_the_secret_is_asked_for_and_not_passed_on(self):
+        self.assertEqual(self.program.ajp().call()[0], 403)
+        self.assertEqual(self.program.ajp().call(secret="wrong")[0], 403)
+        web = self.program.ajp()
+        web.request(secret="open sesame")
+        packet, _, respond = self.server.next()
+        self.assertNotIn(b"sesame", packet)
+        respond()
+        self.assertEqual(web.answer()[0], 200)
+
+
+class Health(AjpCase):
+    def line(self):
+        with socket.create_connection(tuple(self.program.at["AgentCheck"])) as sock:
+            return sock.makefile("rb").read()
+
+    def get(self):
+        with socket.create_connection(tuple(self.program.at["HttpHealth"])) as sock:
+            sock.sendall(b"GET /healthz HTTP/1.0\r\n\r\n")
+            return sock.makefile("rb").read().split(b"\r\n")[0]
+
+    def test_all_checks_say_what_the_module_says_and_the_console_drains(self):
+        web, busy = self.program.ajp(), self.program.ajp()
+        self.assertEqual((self.line(), self.get()), (b"up 100%\n", b"HTTP/1.1 200 OK"))
+        self.assertTrue(web.cping())
+        self.assertEqual(web.call("GET", "/healthz")[0], 200)
+        busy.request()
+        respond = self.server.next()[2]
+        self.assertIn("drain", self.program.console("drain").stdout)
+        self.assertEqual((self.line(), self.get()), (b"drain\n", b"HTTP/1.1 503 Service Unavailable"))
+        with self.assertRaises(EOFError):
+            web.cping()
+        respond(200, b"last")
+        self.assertEqual(busy.answer()[::2], (200, b"last"))
+        self.assertFalse(busy.reuse)
+        self.assertEqual(self.program.ended(), 0)
+        self.assertEqual(self.program.console("status").returncode, 1)
+
+
+class Both(AjpCase):
+    """Both protocols on one core: clients of each, the kernel and an AJP server behind."""
+
+    how = {"thrift": True, "ajp": True}
+    key = {"Idempotency-Key": "f1", "X-Tenant": "acme"}
+
+    def test_a_filing_that_ran_for_thrift_serves_its_repeats_on_ajp(self):
+        router, web = self.program.thrift(), self.program.ajp()
+        first = router.invoke("filing", b"doc", token="f1")
+        rid = self.kernel.next()[0]
+        web.request("POST", "/filings", self.key, b"doc")
+        self.program.wait_for(lambda status: status["in_hand"] == "2")
+        self.kernel.reap(rid, body=b"filed")
+        self.assertEqual(router.answer(first), ("Answer", {}, b"filed"))
+        self.assertEqual(web.answer()[::2], (200, b"filed"))
+        self.assertEqual(web.call("POST", "/filings", self.key, b"doc")[::2], (200, b"filed"))
+        self.assertTrue(self.server.got.empty() and self.kernel.scheduled.empty())
+
+    def test_a_filing_that_ran_for_ajp_serves_its_repeats_on_thrift(self):
+        router, web = self.program.thrift(), self.program.ajp()
+        web.request("POST", "/filings", self.key, b"doc")
+        respond = self.server.next()[2]
+        repeat = router.invoke("filing", b"doc", token="f1", again="1")
+        router.ping()
+        respond(201, b"filed")
+        self.assertEqual(web.answer()[::2], (201, b"filed"))
+        self.assertEqual(router.answer(repeat), ("Answer", {}, b"filed"))
+        self.assertTrue(self.server.got.empty() and self.kernel.scheduled.empty())
+
+    def test_a_filing_that_the_server_rejects_is_broken_on_thrift(self):
+        router, web = self.program.thrift(), self.program.ajp()
+        web.request("POST", "/filings", self.key, b"doc")
+        self.server.next()[2](409, b"no")
+        self.assertEqual(web.answer()[::2], (409, b"no"))
+        self.assertEqual(router.call("filing", b"doc", token="f1", again="1")[0], "Broken")
+        self.assertEqual(web.call("POST", "/filings", self.key, b"doc")[::2], (409, b"no"))
+        self.assertTrue(self.server.got.empty() and self.kernel.scheduled.empty())
+
+    def test_keys_of_other_tenants_are_other_filings(self):
+        router, web = self.program.thrift(), self.program.ajp()
+        filing = router.invoke("filing", b"doc", token="f1")
+        self.kernel.reap(self.kernel.next()[0], body=b"acme's")
+        self.assertEqual(router.answer(filing)[2], b"acme's")
+        web.request("POST", "/filings", {"Idempotency-Key": "f1"}, b"doc")
+        self.server.next()[2](200, b"another's")
+        self.assertEqual(web.answer()[2], b"another's")
+
+    def test_every_rule_holds_over_both_at_once(self):
+        routers, webs = [self.program.thrift() for _ in range(3)], [self.program.ajp() for _ in range(12)]
+        began = time.time()
+        calls = [(r, r.invoke("filing" if n % 3 == 0 else "read", b"%d" % n,
+                              **({"token": f"t{n}"} if n % 3 == 0 else {})))
+                 for r in routers for n in range(8)]  # each filing comes by all three
+        for n, web in enumerate(webs):
+            if n % 2:
+                filing = {"Idempotency-Key": f"t{n % 4 * 3}", "X-Tenant": "acme"}
+                web.request("POST", "/filings", filing, b"a")
+            else:
+                web.request()
+        for web in webs[:2]:
+            web.close()  # cut off while they wait or run
+        self.program.process.send_signal(signal.SIGTERM)
+        kinds = [router.answer(seqid)[0] for router, seqid in calls]
+        statuses = [web.answer()[0] for web in webs[2:]]
+        self.assertLess(time.time() - began, 1.8 + 0.13 + 0.3)
+        self.assertLessEqual(set(kinds), {"Throttled", "Broken"})  # nothing was reaped: none is served
+        self.assertLessEqual(set(statuses), {503, 504, 502})
+        ran = []
+        while not self.kernel.scheduled.empty():
+            ran.append(self.kernel.next()[2])
+        filings = [body for body in ran if int(body) % 3 == 0]
+        self.assertEqual(len(filings), len(set(filings)))
+        for router in routers:
+            router.farewell()
+        self.assertEqual(self.program.ended(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_thrift_front.py
@@ -0,0 +1,239 @@
+"""The real program on the platform's wire: routers, kernel and membership service are stand-ins."""
+
+import signal
+import socket
+import struct
+import time
+import unittest
+
+from stand_ins import PATIENCE, Program, Thrift, settings
+
+
+class Case(unittest.TestCase):
+    how = {}
+
+    def setUp(self):
+        self.program = Program(**self.how)
+        self.addCleanup(self.program.close)
+        self.kernel = self.program.kernel
+
+    def tearDown(self):
+        faults = [line for line in self.program.lines if "exception" in line]
+        self.assertEqual(faults, [])
+
+
+class Serving(Case):
+    def test_a_request_runs_with_its_bytes_unchanged_and_gets_the_kernels_result(self):
+        router, body, result = self.program.thrift(), bytes(range(256)) * 8, bytes(reversed(range(256))) * 16
+        seqid = router.invoke("read", body)
+        rid, method, payload = self.kernel.next()
+        self.assertEqual((method, payload), ("read", body))
+        self.kernel.reap(rid, body=result)
+        self.assertEqual(router.answer(seqid), ("Answer", {}, result))
+
+    def test_answers_come_as_runs_end_and_a_failed_run_is_broken(self):
+        router = self.program.thrift()
+        first, second = router.invoke(body=b"1"), router.invoke(body=b"2")
+        runs = {body: rid for rid, _, body in (self.kernel.next(), self.kernel.next())}
+        self.kernel.reap(runs[b"2"], "ERROR")
+        self.assertEqual(router.answer(second)[0], "Broken")
+        self.kernel.reap(runs[b"1"], body=b"one")
+        self.assertEqual(router.answer(first), ("Answer", {}, b"one"))
+
+    def test_what_cannot_end_in_time_is_refused_at_once_with_backoff(self):
+        router, began = self.program.thrift(), time.monotonic()
+        open_ = [router.invoke() for _ in range(30)]
+        router.sock.settimeout(0.7)
+        refused = []
+        with self.assertRaises(TimeoutError):  # those that run or wait keep their turn
+            for seqid in open_[::-1]:
+                kind, fields, _ = router.answer(seqid)
+                refused.append(seqid)
+                self.assertEqual(kind, "Throttled")
+                self.assertGreater(int(fields["backoff"]), 0)
+                self.assertLess(time.monotonic() - began, 0.7)
+        self.assertGreater(len(refused), 10)
+
+    def test_a_run_that_does_not_end_is_answered_by_its_due_time(self):
+        router, t0 = self.program.thrift(), time.time()
+        kind = router.call()[0]
+        self.assertEqual(kind, "Broken")
+        self.assertLess(time.time() - t0, 1.8 + 0.13)
+
+    def test_a_held_request_that_is_aborted_never_runs(self):
+        router = self.program.thrift()
+        running = [router.invoke(body=b"run") for _ in range(3)]
+        rids = [self.kernel.next()[0] for _ in range(2)]
+        held = router.invoke(body=b"held")
+        router.abort(running[2])
+        router.abort(held)
+        self.assertEqual(router.ping()[2], b"")  # read after the aborts
+        for rid in rids:
+            self.kernel.reap(rid, body=b"done")
+        last = router.invoke(body=b"last")
+        self.assertEqual(self.kernel.next()[2], b"last")
+        self.assertEqual(router.answer(running[0])[2], b"done")
+        router.abort(last)
+
+
+class Filings(Case):
+    def test_a_repeat_waits_for_the_run_and_later_ones_get_its_result(self):
+        router, other = self.program.thrift(), self.program.thrift()
+        first = router.invoke("filing", b"doc", token="t1")
+        rid, _, _ = self.kernel.next()
+        second = other.invoke("filing", b"doc", token="t1", again="1")
+        other.ping()
+        self.kernel.reap(rid, body=b"filed")
+        self.assertEqual(router.answer(first), ("Answer", {}, b"filed"))
+        self.assertEqual(other.answer(second), ("Answer", {}, b"filed"))
+        self.assertEqual(other.call("filing", b"doc", token="t1", again="1"), ("Answer", {}, b"filed"))
+        self.assertTrue(self.kernel.scheduled.empty())
+
+    def test_a_result_that_came_too_late_is_kept_for_the_repeat(self):
+        router = self.program.thrift()
+        self.assertEqual(router.call("filing", b"doc", token="t2")[0], "Broken")
+        self.kernel.reap(self.kernel.next()[0], body=b"filed late")
+        self.assertEqual(router.call("filing", b"doc", token="t2", again="1"), ("Answer", {}, b"filed late"))
+        self.assertTrue(self.kernel.scheduled.empty())
+
+    def test_a_failed_filing_is_not_run_again_nor_refused(self):
+        router = self.program.thrift()
+        seqid = router.invoke("filing", b"doc", token="t3")
+        self.kernel.reap(self.kernel.next()[0], "ERROR")
+        self.assertEqual(router.answer(seqid)[0], "Broken")
+        self.assertEqual(router.call("filing", b"doc", token="t3", again="1")[0], "Broken")
+        self.assertTrue(self.kernel.scheduled.empty())
+
+
+class KernelLink(Case):
+    def test_a_new_link_replays_and_only_what_is_safe_and_missing_is_sent_again(self):
+        router = self.program.thrift()
+        reaped, lost = router.invoke(body=b"reaped"), router.invoke(body=b"lost")
+        runs = {body: rid for rid, _, body in (self.kernel.next(), self.kernel.next())}
+        self.kernel.reap(runs[b"reaped"], body=b"replayed", say=False)
+        self.kernel.drop_links()
+        self.assertEqual(self.kernel.opened.get(timeout=PATIENCE), 0)
+        self.assertEqual(router.answer(reaped), ("Answer", {}, b"replayed"))
+        self.assertEqual(self.kernel.next(), (runs[b"lost"], "read", b"lost"))
+        self.kernel.reap(runs[b"lost"], body=b"found")
+        self.assertEqual(router.answer(lost), ("Answer", {}, b"found"))
+        self.assertTrue(self.kernel.scheduled.empty())
+
+    def test_a_filing_is_never_scheduled_twice(self):
+        router = self.program.thrift()
+        filing = router.invoke("filing", b"doc", token="t")
+        rid = self.kernel.next()[0]
+        self.kernel.drop_links()
+        self.kernel.opened.get(timeout=PATIENCE)
+        read = router.invoke(body=b"read")
+        self.assertEqual(self.kernel.next()[2], b"read")  # in order: nothing was sent again before it
+        self.kernel.reap(rid, body=b"filed")
+        self.assertEqual(router.answer(filing), ("Answer", {}, b"filed"))
+        router.abort(read)
+
+    def test_what_starts_without_a_link_is_scheduled_once_there_is_one(self):
+        router = self.program.thrift()
+        self.kernel.refuse()
+        self.kernel.drop_links()
+        while not self.program.said("kernel link lost"):
+            router.ping()
+        seqid = router.invoke(body=b"early")
+        router.ping()
+        self.kernel.come_back()
+        rid, _, body = self.kernel.next()
+        self.assertEqual(body, b"early")
+        self.kernel.reap(rid, body=b"ran")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"ran"))
+
+
+class BadInput(Case):
+    def test_a_bad_frame_ends_its_own_connection_only(self):
+        good = self.program.thrift()
+        for frame in (b"\xff\xff\xff\xff", b"\0\0\0\x04junk", b"\0\0\0\x0c\x80\x01\0\x01\x7f\xff\xff\xffaaaa",
+                      struct.pack(">I", 19) + b"\x80\x01\0\x01\0\0\0\x06invoke\0\0\0\x01\x0d",
+                      struct.pack(">I", 4) + b"\0\0\0\x01"):
+            bad = self.program.thrift()
+            bad.sock.sendall(frame)
+            self.assertEqual(bad.sock.recv(1), b"")
+        self.assertEqual(good.ping()[0], "Answer")
+
+    def test_bad_and_missing_fields_get_an_application_exception(self):
+        router = self.program.thrift()
+        for fields in ({"method": "none"}, {"rid": "short"}, {"t0": "-1"}, {"t0": "soon"}, {"mem": "nan"},
+                       {"acct": "who"}, {"est": "x"}, {"prio": "1"}, {"peer": "x"}, {"obj": b"\xff"},
+                       {"drop": ["rid"]}, {"drop": ["t0"]}, {"drop": ["mem"]}, {"drop": ["acct"]},
+                       {"method": "filing"}, {"method": "filing", "token": ""}):
+            with self.subTest(fields):
+                self.assertEqual(router.call(**fields)[0], "Exception")
+        self.assertEqual(router.answer(router.send("fly", b"\0"))[0], "Exception")
+        self.assertTrue(self.kernel.scheduled.empty())
+
+    def test_a_reader_that_takes_nothing_holds_up_no_one(self):
+        slow, quick = self.program.thrift(), self.program.thrift()
+        slow.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        junk = struct.pack(">I", 0x80010001) + b"\0\0\x27\x10" + b"x" * 10000 + b"\0\0\0\x01\0"
+        frame = struct.pack(">I", len(junk)) + junk  # each is answered with its long name
+        with self.assertRaises(OSError):  # cut off once its bound is reached
+            for _ in range(2000):
+                slow.sock.sendall(frame)
+        self.assertEqual(quick.ping()[0], "Answer")
+
+
+class Descriptors(Case):
+    how = {"sockets": 64}
+
+    def test_a_crowd_of_connections_waits_below_the_limit(self):
+        crowd = [self.program.thrift() for _ in range(80)]
+        for connection in crowd[:20]:
+            connection.close()
+        for connection in crowd[20:60]:
+            self.assertEqual(connection.ping()[0], "Answer")
+
+
+class Draining(Case):
+    def test_all_that_was_read_is_answered_then_the_program_ends_well(self):
+        idle, busy = self.program.thrift(), self.program.thrift()
+        self.assertTrue(idle.ping())
+        self.assertEqual(self.program.members.wait_for("UP"), ("/members/n1", "UP"))
+        idle_seqid = idle.invoke()
+        self.kernel.reap(self.kernel.next()[0])
+        idle.answer(idle_seqid)
+        seqid = busy.invoke(body=b"last")
+        rid = self.kernel.next()[0]
+        self.program.process.send_signal(signal.SIGTERM)
+        self.program.members.wait_for("OUT")
+        idle.farewell()
+        self.kernel.reap(rid, body=b"answered")
+        self.assertEqual(busy.answer(seqid), ("Answer", {}, b"answered"))
+        busy.farewell()
+        self.assertEqual(self.program.ended(), 0)
+
+    def test_a_run_that_never_ends_does_not_hold_up_the_end(self):
+        router = self.program.thrift()
+        seqid = router.invoke("filing", b"doc", token="t")
+        self.kernel.next()
+        self.program.process.send_signal(signal.SIGTERM)
+        self.assertEqual(router.answer(seqid)[0], "Broken")
+        self.assertEqual(self.program.ended(), 0)
+
+
+class MembersOutage(Case):
+    def test_an_outage_blocks_nothing_and_reports_go_on_after_it(self):
+        self.program.members.wait_for("UP")
+        self.program.members.close()
+        router = self.program.thrift()
+        seqid = router.invoke()
+        self.kernel.reap(self.kernel.next()[0], body=b"served")
+        self.assertEqual(router.answer(seqid)[2], b"served")
+
+
+class KeepAlive(Case):
+    how = {"site": settings(FamilyInfo=settings()["FamilyInfo"] | {"Callers": 10_000})}
+
+    def test_idle_connections_are_ended_by_farewell_where_few_come_back(self):
+        router = self.program.thrift()
+        seqid = router.invoke()
+        self.kernel.reap(self.kernel.next()[0])
+        router.answer(seqid)
+        router.farewell()
+        self.assertEqual(Thrift(self.program.at["ThriftFront"]).ping()[0], "Answer")
