Bound AJP's memory, tell filings with one key apart, and close gaps in the core

It now hears MOOT. - loop.py could hand a stale event to a descriptor that was closed and used again within one round of poll. - kernel.py: a filing whose command was lost with its link kept a core slot for ever; it counts as failed after 30 s. - ajp_front.py: 256 connections with bodies of 1 MiB could pass the memory limit. Quoted keys are read as such.

--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -24,6 +24,7 @@
 
 MS = 1_000_000
 RESULT_SHARE = 0.25  # of the process memory, for the results of filings
+BODY_SHARE = 0.12  # of it, for AJP bodies coming in, for responses being read, and for those not yet sent
 RESERVED = 24  # descriptors for all that is no accepted connection
 CONSOLE = 2 * agent.MAX_OPEN + 8  # and for the console and the checks, where they are on
 QUIET = 0.05  # s without a request in hand before a drained worker ends
@@ -54,7 +55,8 @@
         if config.admin or config.agent or config.health:
             room -= CONSOLE
         if config.ajp:
-            servers = AjpServers(loop, owner, config.ajp, self.log)
+            body_bytes = int(config.memory_mb * 1e6 * BODY_SHARE)
+            servers = AjpServers(loop, owner, config.ajp, body_bytes, self.log)
             self.gauge_source = servers
             # What runs is bounded by the crowd that the cores survive, whatever the module learns.
             room -= int(config.settings.cores * config.settings.tip_multiple)
@@ -63,7 +65,7 @@
             if most < 1:
                 raise BadInput(f"setting limits.sockets: too few: {config.sockets}")
             room -= most
-            self.fronts.append(AjpFront(loop, owner, servers, config.ajp, most, self.log))
+            self.fronts.append(AjpFront(loop, owner, servers, config.ajp, most, body_bytes, self.log))
         if config.listen:
             self.gauge_source = kernel = Kernel(loop, owner, config.kernel, config.gauges, self.log)
             self.tasks.append(kernel.run)
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -173,7 +173,7 @@
         raise BadInput(f"setting {r.path}default_tenant: unknown tenant {tenant!r}")
     return AjpConfig(
         listen=_required(r, "listen", loopback=True), secret=r.text("secret", None), packet_size=packet,
-        max_body=r.whole("max_body", 1 << 20), max_response=r.whole("max_response", 4 << 20, least=1),
+        max_body=r.whole("max_body", 1 << 20), max_response=r.whole("max_response", 1 << 20, least=1),
         max_connections=r.whole("max_connections", 256, least=1), idle_s=r.number("idle_s", 60, least=0.1),
         body_s=r.number("body_s", 10, least=0.05), retry_ms=r.whole("retry_ms", 2000),
         memory_kb=r.number("memory_kb", 24.0), health_uri=r.text("health_uri", "/healthz").encode(),
--- a/ochrehoist/core/keys.py
+++ b/ochrehoist/core/keys.py
@@ -8,6 +8,8 @@
 
 from ochrehoist.core.requests import KeyId, Result
 
+NOBODY = (None, 0, None)
+
 
 @dataclass(slots=True)
 class Run:
@@ -15,6 +17,7 @@
 
     id: str
     window_end: int
+    fingerprint: bytes | None
     result: Result | None = None
     dropped: bool = False  # the result was too much to keep; the run itself is never forgotten early
     waiters: list[str] = field(default_factory=list)
@@ -25,22 +28,31 @@
 
     def __init__(self, slack: int, max_bytes: int) -> None:
         self.slack, self.max_bytes, self.bytes = slack, max_bytes, 0
-        self.entries: dict[KeyId, tuple[str, int]] = {}  # token -> the try that holds it, and until when
+        # By token: the try that holds the entry, until when, and a fingerprint of its content.
+        self.entries: dict[KeyId, tuple[str, int, bytes | None]] = {}
         self.held_by: dict[str, KeyId] = {}
         self.runs: dict[KeyId, Run] = {}
         self.stored: OrderedDict[KeyId, int] = OrderedDict()  # sizes of the results kept, oldest first
 
     def original(self, token: KeyId, arrived: int) -> str | None:
         """The try that one which arrived then repeats: judged by its arrival, however late it is read."""
-        holder, until = self.entries.get(token, (None, 0))
+        holder, until, _ = self.entries.get(token, NOBODY)
         if holder is not None and arrived <= until:
             return holder
         run = self.runs.get(token)
         return run.id if run is not None and arrived <= run.window_end else None
 
-    def keep(self, token: KeyId, holder: str, until: int) -> None:
+    def same(self, token: KeyId, arrived: int, fingerprint: bytes | None) -> bool:
+        """False where the token stands for other content, as far as both are known."""
+        _, until, known = self.entries.get(token, NOBODY)
+        run = self.runs.get(token)
+        if run is not None and arrived <= run.window_end:
+            until, known = run.window_end, known or run.fingerprint
+        return arrived > until or None in (known, fingerprint) or known == fingerprint
+
+    def keep(self, token: KeyId, holder: str, until: int, fingerprint: bytes | None) -> None:
         self._drop(token)
-        self.entries[token], self.held_by[holder] = (holder, until), token
+        self.entries[token], self.held_by[holder] = (holder, until, fingerprint), token
 
     def forget(self, holder: str) -> None:
         token = self.held_by.get(holder)
@@ -48,7 +60,7 @@
             self._drop(token)
 
     def _drop(self, token: KeyId) -> None:
-        holder, _ = self.entries.pop(token, (None, 0))
+        holder = self.entries.pop(token, NOBODY)[0]
         if holder is not None:
             del self.held_by[holder]
 
@@ -56,9 +68,9 @@
         run = self.runs.get(token)
         return run is None or (arrived > run.window_end and (run.result is not None or run.dropped))
 
-    def started(self, token: KeyId, holder: str, window_end: int) -> None:
+    def started(self, token: KeyId, holder: str, window_end: int, fingerprint: bytes | None) -> None:
         self._release(token)
-        self.runs[token] = Run(holder, window_end)
+        self.runs[token] = Run(holder, window_end, fingerprint)
 
     def ended(self, token: KeyId, holder: str, result: Result, kept_bytes: int) -> list[str]:
         """Stores the result of a run and gives the repeats that waited for it."""
@@ -83,7 +95,7 @@
     def sweep(self, now: int) -> None:
         """Lets go of what no try that can still be read would name."""
         past = now - self.slack
-        for token in [t for t, (_, until) in self.entries.items() if until < past]:
+        for token in [t for t, entry in self.entries.items() if entry[1] < past]:
             self._drop(token)
         for token in [t for t, r in self.runs.items()
                       if r.window_end < past and (r.result is not None or r.dropped)]:
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -110,9 +110,14 @@
             return self._answer(r, lambda: r.responder.refused(SECOND, False) if early
                                 else r.responder.failed(Reason.INTERNAL))
         cls = self.settings.classes[r.kind]
+        r.arrived = min(r.arrived, self.now)  # a time to come would put off its due time, and its window
         r.due = max(self.now, r.arrived + cls.deadline)
         if self.stop_at is not None:
             r.due = min(r.due, self.stop_at - LAST_CALL)
+        if r.token is not None and not self.keys.same(r.token, r.arrived, r.fingerprint):
+            # The result of the other filing would be taken for this one's, and this one lost unseen.
+            r.answered = True
+            return self._answer(r, lambda: r.responder.failed(Reason.OTHER_CONTENT))
         self.live[r.id] = r
         self.owed += 1
         heappush(self.backstops, (r.due, r.id))
@@ -131,8 +136,9 @@
 
     def _ended(self, m: Ended) -> None:
         r = self.live.pop(m.id, None)
-        if r is None:
-            return self.log.warning("end of an unknown run", id=m.id)
+        if r is None:  # the module let it go before, or never knew that it was over
+            self._handle(i.Completed(m.id, m.result.outcome, m.took))
+            return
         if r.token is not None:
             size = len(m.result.body) + RESULT_OVERHEAD
             for waiter in self.keys.ended(r.token, r.id, m.result, size):
@@ -242,7 +248,9 @@
 
     def _start(self, a: i.Start) -> None:
         r = self.live.get(a.id)
-        if r is None or r.started:
+        if r is None:  # over already, as after a fault: the module must not count it as running for ever
+            return self.post(Ended(a.id, Result(i.Outcome.MOOT), 0))
+        if r.started:
             return
         cls = self.settings.classes[r.kind]
         if r.token is not None:
@@ -250,7 +258,7 @@
                 self.log.error("a second run of one filing was held back", id=r.id)
                 r.started = True
                 return self.post(Ended(r.id, Result(i.Outcome.FAILED), 0))
-            self.keys.started(r.token, r.id, r.arrived + cls.window)
+            self.keys.started(r.token, r.id, r.arrived + cls.window, r.fingerprint)
         r.started = True
         try:
             r.executor.start(r)
@@ -272,7 +280,7 @@
     def _keep(self, a: i.Keep) -> None:
         r = self.live.get(a.id)
         if r is not None and r.token is not None:
-            self.keys.keep(r.token, r.id, self.now + a.hold_for)
+            self.keys.keep(r.token, r.id, self.now + a.hold_for, r.fingerprint)
 
     def _forget(self, a: i.Forget) -> None:
         self.keys.forget(a.id)
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -15,6 +15,7 @@
     GIVEN_UP = "no answer by the due time"
     EXECUTOR = "the run failed"
     INTERNAL = "internal fault"
+    OTHER_CONTENT = "the key belongs to a filing with other content"
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,6 +75,7 @@
     tenant: int | None = None
     key: str | None = None
     token: KeyId | None = None
+    fingerprint: bytes | None = None  # of the content, where the front can tell one filing from another
     work: int | None = None
     memory_kb: float = 0.0
     rank: float = 0.0
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from fnmatch import fnmatchcase
+from hashlib import sha256
 from http import HTTPStatus
 from typing import Any
 
@@ -55,6 +56,8 @@
         if tenant is not None and self.tenants and tenant not in self.tenants:
             raise Rejected(HTTPStatus.BAD_REQUEST, "unknown tenant")
         token = f.headers.get(self.config.key_header, b"").decode("latin-1").strip()
+        if len(token) > 1 and token[0] == token[-1] == '"':  # the header's own form is a quoted string
+            token = token[1:-1]
         if self.owner.settings.classes[kind].repeat is not Repeat.KEYED:
             token = ""
         elif not token or len(token) > 255:
@@ -70,6 +73,7 @@
             id=f"ajp-{next(self.ids)}", kind=kind, arrived=arrived, payload=AjpPayload(f, body),
             responder=responder, executor=self.executor, tenant=tenant,
             token=(tenant, kind, token) if token else None,
+            fingerprint=sha256(f"{f.method} ".encode() + f.uri + b"\0" + body).digest() if token else None,
             memory_kb=self.config.memory_kb + (len(f.packet) + len(body)) / 1024, rank=0.5,
             retry=retry not in (b"", b"0"), write=cls.repeat is not Repeat.SAFE)
 
@@ -111,6 +115,8 @@
             self.plain(HTTPStatus.GATEWAY_TIMEOUT, reason.value)
         elif reason is Reason.EXECUTOR:
             self.plain(HTTPStatus.BAD_GATEWAY, reason.value)
+        elif reason is Reason.OTHER_CONTENT:
+            self.plain(HTTPStatus.UNPROCESSABLE_ENTITY, reason.value)
         else:
             self.plain(HTTPStatus.INTERNAL_SERVER_ERROR, reason.value)
 
@@ -120,6 +126,7 @@
 
     def __init__(self, front: "AjpFront", stream: Stream) -> None:
         self.front, self.stream, self.in_hand = front, stream, False
+        self.body_bytes = 0  # read or promised, of the request in hand
         stream.on_close = lambda: front.closed(self)
 
     def run(self) -> None:
@@ -139,7 +146,7 @@
                 elif kind == ajp.FORWARD:
                     self.in_hand = True
                     self._forward(ajp.forward(packet), arrived)
-                    self.in_hand = False
+                    self.in_hand, self.body_bytes = False, 0
                 elif kind not in (ajp.SHUTDOWN, ajp.PING):  # asked by nobody who may: passed over
                     raise ajp.BadPacket(f"an unexpected packet {kind}")
         except (Closed, TimedOut):
@@ -159,14 +166,16 @@
         try:
             checked = self.front.reader.check(f)
             kind = checked[0]
+            self._book(f.length)
             # A body that takes longer than its caller waits is of no use.
             until = time.monotonic() + self.front.owner.settings.classes[kind].deadline / S
             body = self._body(f, until)
             unread = False
         except Rejected as error:
-            responder.plain(error.status, str(error))
-            if error.status is HTTPStatus.REQUEST_ENTITY_TOO_LARGE and f.chunked:
-                self.stream.close_when_sent()  # more may be on its way: this connection is out of step
+            again = ((b"Retry-After", b"1"),) if error.status is HTTPStatus.SERVICE_UNAVAILABLE else ()
+            responder.plain(error.status, str(error), again)
+            if f.chunked and self.body_bytes:
+                self.stream.close_when_sent()  # a body broken off: this connection is out of step
             elif unread:
                 read_packet(self.stream, ajp.TO_CONTAINER, self.front.config.packet_size,
                             self.front.config.body_s)
@@ -200,15 +209,25 @@
                 raise Closed  # the caller's body ended early
             if len(body) > config.max_body:
                 raise Rejected(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
+            self._book(max(f.length, len(body)))
             if not f.chunked and len(body) > f.length:
                 raise ajp.BadPacket("more body than told")
         return bytes(body)
 
+    def _book(self, size: int) -> None:
+        """Bodies that come in at once share a bounded memory: what finds none left is turned away."""
+        if sum(c.body_bytes for c in self.front.connections) - self.body_bytes + size > self.front.max_bytes:
+            raise Rejected(HTTPStatus.SERVICE_UNAVAILABLE, "no memory for its body, never run")
+        self.body_bytes = size
+
     def respond(self, head: bytes, body: bytes) -> None:
         reuse = not self.front.draining
         self.stream.write(ajp.response(head, body, self.front.config.packet_size, reuse))
         if not reuse:
             self.stream.close_when_sent()
+        elif self.stream.unsent and sum(len(c.stream.unsent) for c in self.front.connections) \
+                > self.front.max_bytes:
+            self.stream.close()  # readers this slow would fill the memory together
         self.stream.arrived.set()
 
 
@@ -216,8 +235,9 @@
     """Listens for AJP. It is a Listener of the core."""
 
     def __init__(self, loop: Loop, owner: Owner, executor: Executor, config: AjpConfig, max_connections: int,
-                 log: Any) -> None:
+                 max_bytes: int, log: Any) -> None:
         self.loop, self.owner, self.config, self.log = loop, owner, config, log
+        self.max_bytes = max_bytes  # for all bodies coming in, and as much for all responses not yet sent
         self.reader = AjpReader(owner, executor, config)
         self.connections: set[AjpConnection] = set()
         self.draining = False
--- a/ochrehoist/net/ajp_server.py
+++ b/ochrehoist/net/ajp_server.py
@@ -44,10 +44,11 @@
 
 
 class AjpServers:
-    def __init__(self, loop: Loop, owner: Owner, config: AjpConfig, log: Any) -> None:
+    def __init__(self, loop: Loop, owner: Owner, config: AjpConfig, max_bytes: int, log: Any) -> None:
         self.loop, self.owner, self.config, self.log = loop, owner, config, log
         self.pools = [Pool(server) for server in config.servers]
         self.running = 0
+        self.max_bytes, self.bytes = max_bytes, 0  # of responses that are being read
         loop.call_later(1.0, self._sweep)
 
     def start(self, request: Inbound) -> None:
@@ -112,13 +113,13 @@
         reuse, sent, found = False, 0, None
         until = time.monotonic() + pool.server.reply_ms / 1000
         secret = pool.server.secret.encode() if pool.server.secret else None
+        body = bytearray()
         try:
             data = ajp.packet(ajp.TO_CONTAINER, payload.forward.passed_on(secret))
             if payload.forward.length:  # the first chunk follows unasked
                 sent = min(room, len(payload.body))
                 data += ajp.body_packet(payload.body[:sent])
             stream.write(data)
-            body = bytearray()
             while True:
                 left = until - time.monotonic()
                 if left <= 0:
@@ -132,8 +133,10 @@
                 elif kind == ajp.HEADERS and found is None:
                     found = ajp.reply(m)
                 elif kind == ajp.BODY_CHUNK and found is not None:
-                    body += ajp.chunk(m)
-                    if len(body) > self.config.max_response:
+                    piece = ajp.chunk(m)
+                    body += piece
+                    self.bytes += len(piece)
+                    if len(body) > self.config.max_response or self.bytes > self.max_bytes:
                         raise ajp.BadPacket("a response over the limit")
                 elif kind == ajp.END_RESPONSE and found is not None:
                     reuse = ajp.Cursor(m, 1).byte() == 1
@@ -149,6 +152,7 @@
             self.log.warning("AJP server failed", server=pool.server.name, why=repr(error))
             return Result(Outcome.FAILED, success=False)
         finally:
+            self.bytes -= len(body)
             if reuse and not stream.buffer and not stream.ended and len(pool.idle) < pool.server.max_idle:
                 pool.idle.append((stream, time.monotonic()))
             else:
--- a/ochrehoist/net/kernel.py
+++ b/ochrehoist/net/kernel.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 import json
+from functools import partial
 from typing import Any
 
 from ochrehoist.core.owner import Owner
@@ -15,6 +16,7 @@
 MAX_LINE = 1 << 20
 RETRY = 0.05  # s between tries to get a link
 CONNECT = 1.0
+LOST = 30.0  # s after a new link until a filing that the old one may have lost counts as failed
 OUTCOMES = {"OK": Outcome.OK, "ERROR": Outcome.FAILED, "STOPPED": Outcome.CANCELLED, "MOOT": Outcome.MOOT}
 
 
@@ -115,6 +117,8 @@
             # The kernel's REAP, if it has the run, comes by itself.
             if self.owner.settings.classes[r.kind].repeat is Repeat.SAFE:
                 self._schedule(r)
+            else:  # if the kernel never got it, the module would count it as running for ever
+                self.loop.call_later(LOST, partial(self._over, r.id, Result(Outcome.FAILED), int(LOST * 1e9)))
 
     def _reaped(self, m: dict) -> None:
         try:
--- a/ochrehoist/net/loop.py
+++ b/ochrehoist/net/loop.py
@@ -37,6 +37,7 @@
         self.timers: list[Timer] = []
         self.hub = getcurrent()
         self.stopped = False
+        self.forgotten: set[int] = set()  # closed in this round: their number may be in use again already
         self.signals: dict[int, Callable[[], None]] = {}
 
     # ---- tasks
@@ -90,6 +91,7 @@
     def forget(self, fd: int) -> None:
         self.readers.pop(fd, None)
         self.writers.pop(fd, None)
+        self.forgotten.add(fd)
         self._register(fd)
 
     # ---- signals
@@ -126,11 +128,12 @@
                 wait = 0.0
             else:
                 wait = (self.timers[0].when - time.monotonic()) * 1000 if self.timers else None
+            self.forgotten.clear()
             # Rounded up: a poll that ends a moment early would spin until the timer falls due.
             for fd, events in self.poll.poll(None if wait is None else max(0, int(wait + 0.999))):
-                if events & (select.POLLIN | select.POLLHUP | select.POLLERR | select.POLLNVAL):
+                if fd not in self.forgotten and events & ~select.POLLOUT:
                     self._call(self.readers.get(fd))
-                if events & (select.POLLOUT | select.POLLHUP | select.POLLERR):
+                if fd not in self.forgotten and events & ~select.POLLIN:
                     self._call(self.writers.get(fd))
 
     def _call(self, call: Callable[[], Any] | None) -> None:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -294,6 +294,10 @@
     def chunk(self, data):
         self.sock.sendall(ajp_packet(b"\x12\x34", struct.pack(">H", len(data)) + data if data else b""))
 
+    def peek(self):
+        """The kind of the next packet, left where it is."""
+        return self.sock.recv(5, socket.MSG_PEEK | socket.MSG_WAITALL)[4]
+
     def asked_for(self):
         """How much of a body the other side asks for next."""
         m = ajp_read(self.sock, b"AB")
--- a/tests/test_ajp_front.py
+++ b/tests/test_ajp_front.py
@@ -177,6 +177,47 @@
         self.assertEqual(web.answer()[0], 200)
 
 
+class Filings(AjpCase):
+    def file(self, web, key, body=b"doc"):
+        web.request("POST", "/filings", {"Idempotency-Key": key}, body)
+
+    def test_a_repeat_gets_the_first_ones_response_and_other_content_is_turned_away(self):
+        web, other = self.program.ajp(), self.program.ajp()
+        self.file(web, "k1")
+        respond = self.server.next()[2]
+        self.file(other, "k1", b"another")
+        self.assertEqual(other.answer()[0], 422)
+        respond(201, b"filed")
+        self.assertEqual(web.answer()[::2], (201, b"filed"))
+        self.file(other, '"k1"')  # the header's quoted form names the same key
+        self.assertEqual(other.answer(), (201, {"X-Made-By": "server"}, b"filed"))
+        self.file(other, "k1", b"another")
+        self.assertEqual(other.answer()[0], 422)
+        self.assertTrue(self.server.got.empty())
+
+
+class Memory(AjpCase):
+    how = AjpCase.how | {"max_body": 6 << 20, "max_response": 1000}
+
+    def test_bodies_that_come_in_at_once_share_a_bounded_memory(self):
+        first, second = self.program.ajp(), self.program.ajp()
+        for web in (first, second):
+            web.forward("POST", "/reads/1", length=5 << 20)
+            web.chunk(b"x" * 8186)
+        # 64 MB for the process, 12% of it for these bodies: only one fits, the other is told at once.
+        waiting, told = (first, second) if first.peek() == 6 else (second, first)
+        status, headers, _ = told.answer()
+        self.assertEqual((status, headers["Retry-After"]), (503, "1"))
+        waiting.close()
+        self.assertEqual(told.call("GET", "/healthz")[0], 200)
+
+    def test_a_response_over_the_limit_is_502(self):
+        web = self.program.ajp()
+        web.request()
+        self.server.next()[2](200, b"x" * 1001)
+        self.assertEqual(web.answer()[0], 502)
+
+
 class Health(AjpCase):
     def line(self):
         with socket.create_connection(tuple(self.program.at["AgentCheck"])) as sock:
--- a/tests/test_thrift_front.py
+++ b/tests/test_thrift_front.py
@@ -60,6 +60,11 @@
         self.assertEqual(kind, "Broken")
         self.assertLess(time.time() - t0, 1.8 + 0.13)
 
+    def test_a_time_to_come_does_not_put_off_the_due_time(self):
+        router, began = self.program.thrift(), time.time()
+        self.assertEqual(router.call(t0="999999999999999")[0], "Broken")
+        self.assertLess(time.time() - began, 1.8 + 0.13)
+
     def test_a_held_request_that_is_aborted_never_runs(self):
         router = self.program.thrift()
         running = [router.invoke(body=b"run") for _ in range(3)]
