Give back the core slot after a module fault, and test faults and both protocols at once

Seen in the new fault test: a fault half way through a request left the module counting a run that was never started (owner.py _handle dropped its actions), so one of two cores stayed taken and the next request was held until it was given up. The owner now tells the module that such a run is over, also after the backstop. The mixed test now serves 24 pairs over both protocols with each filing on both, cuts one body off midway and ends in a drain with requests running and held on both fronts. Agent-check, HTTP health and console share one Service; 431 where a server's own secret would not fit the packet; a stored AJP result counts its headers.

--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -17,6 +17,7 @@
 from ochrehoist.net.ajp_front import AjpFront
 from ochrehoist.net.ajp_server import AjpServers
 from ochrehoist.net.kernel import Kernel
+from ochrehoist.net.listener import Service
 from ochrehoist.net.loop import Loop, Signal
 from ochrehoist.net.members import Members
 from ochrehoist.net.thrift_front import ThriftFront
@@ -26,7 +27,7 @@
 RESULT_SHARE = 0.25  # of the process memory, for the results of filings
 BODY_SHARE = 0.12  # of it, for AJP bodies coming in, for responses being read, and for those not yet sent
 RESERVED = 24  # descriptors for all that is no accepted connection
-CONSOLE = 2 * agent.MAX_OPEN + 8  # and for the console and the checks, where they are on
+CONSOLE = 3 * Service.max_open + 3  # and for the console and the checks, where they are on
 QUIET = 0.05  # s without a request in hand before a drained worker ends
 END_EARLY = 0.06  # s before it would be killed
 
@@ -186,5 +187,9 @@
         return 2
 
 
-if __name__ == "__main__":
+def command_line() -> None:
     sys.exit(main(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    command_line()
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -140,7 +140,7 @@
             self._handle(i.Completed(m.id, m.result.outcome, m.took))
             return
         if r.token is not None:
-            size = len(m.result.body) + RESULT_OVERHEAD
+            size = len(m.result.body) + m.result.detail_bytes + RESULT_OVERHEAD
             for waiter in self.keys.ended(r.token, r.id, m.result, size):
                 self.post(Joined(waiter, m.result))
         self._finish(r, m.result, m.took)
@@ -188,6 +188,7 @@
                 self.log.warning("answered by the backstop", id=r.id, started=r.started)
                 self._fail(r, Reason.GIVEN_UP)
                 self._handle(i.CallerGone(r.id))
+                self._not_running(r)
         due = []
         while self.alarms and self.alarms[0][0] <= self.now:
             due.append(heappop(self.alarms)[1])
@@ -217,6 +218,7 @@
             r = self.live.get(getattr(event, "id", None))
             if r is not None and not r.answered and not r.started:
                 self._fail(r, Reason.INTERNAL)
+                self._not_running(r)
             return False
         for action in actions:
             try:
@@ -225,6 +227,11 @@
                 self.log.exception("fault in an action", action=type(action).__name__)
         return True
 
+    def _not_running(self, r: Inbound) -> None:
+        """After a fault the module may count as running what was never started: its slot is given back."""
+        if not r.started:
+            self.post(Ended(r.id, Result(i.Outcome.MOOT), 0))
+
     def _settle(self, r: Inbound) -> bool:
         """Marks that nothing is owed for it any more; whether something was."""
         if r.answered:
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -25,6 +25,7 @@
     outcome: Outcome
     body: bytes = b""
     detail: Any = None
+    detail_bytes: int = 0  # what it takes in memory
     success: bool = True  # to the caller, on any wire: a run may end well with an error
 
 
--- a/ochrehoist/net/admin.py
+++ b/ochrehoist/net/admin.py
@@ -6,41 +6,30 @@
 from collections.abc import Callable
 from typing import Any
 
-from ochrehoist.net.listener import Listening
+from ochrehoist.net.listener import Service
 from ochrehoist.net.loop import Loop
-from ochrehoist.net.stream import Closed, Stream, TimedOut
+from ochrehoist.net.stream import Stream
 
 PATIENCE = 5.0  # s for a command
 MAX_LINE = 1024
-MAX_OPEN = 4
 Address = tuple[str, int] | str
 
 
-class Admin:
+class Admin(Service):
     """`commands` are looked up by name; each gives what is said back."""
 
     def __init__(self, loop: Loop, address: Address, commands: dict[str, Callable[[], dict]],
                  log: Any) -> None:
-        self.loop, self.address, self.commands = loop, address, commands
-        self.listening = Listening(loop, address, self._accepted, MAX_OPEN, log)
-
-    def _accepted(self, sock: socket.socket) -> Callable[[], None]:
-        stream = Stream(self.loop, sock)
-        stream.on_close = self.listening.closed
-        return lambda: self._serve(stream)
-
-    def _serve(self, stream: Stream) -> None:
-        try:
-            while True:
-                name = stream.take_line(MAX_LINE, PATIENCE).decode("latin-1").strip()
-                command = self.commands.get(name)
-                said = command() if command else {"error": f"unknown command {name!r}",
-                                                  "commands": sorted(self.commands)}
-                stream.write(json.dumps(said).encode() + b"\n")
-        except (Closed, TimedOut):
-            pass
-        finally:
-            stream.close_when_sent()
+        self.address, self.commands = address, commands
+        super().__init__(loop, address, log)
+
+    def serve(self, stream: Stream) -> None:
+        while True:
+            name = stream.take_line(MAX_LINE, PATIENCE).decode("latin-1").strip()
+            command = self.commands.get(name)
+            said = command() if command else {"error": f"unknown command {name!r}",
+                                              "commands": sorted(self.commands)}
+            stream.write(json.dumps(said).encode() + b"\n")
 
     def close(self) -> None:
         self.listening.stop()
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -39,6 +39,7 @@
         self.tenants = {t.name: at for at, t in enumerate(owner.settings.tenants)}
         self.kinds = {c.name: at for at, c in enumerate(owner.settings.classes)}
         self.ids = itertools.count(1)
+        self.longest_secret = max(len(s.secret.encode()) + 4 if s.secret else 0 for s in config.servers)
 
     def check(self, f: ajp.Forward) -> tuple[int, int | None, str | None]:
         """Class, tenant and filing key, before any of the body is read."""
@@ -52,6 +53,8 @@
             raise Rejected(HTTPStatus.NOT_FOUND, "no class for this request")
         if f.length > self.config.max_body:
             raise Rejected(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
+        if len(f.packet) + self.longest_secret > self.config.packet_size - ajp.HEAD:
+            raise Rejected(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "no room for the server's secret")
         tenant = f.headers.get(self.config.tenant_header, b"").decode("latin-1") or self.config.default_tenant
         if tenant is not None and self.tenants and tenant not in self.tenants:
             raise Rejected(HTTPStatus.BAD_REQUEST, "unknown tenant")
--- a/ochrehoist/net/ajp_server.py
+++ b/ochrehoist/net/ajp_server.py
@@ -145,7 +145,7 @@
                     raise ajp.BadPacket(f"an unexpected packet {kind}")
             found.body = bytes(body)
             outcome = Outcome.OK if found.status < 500 else Outcome.FAILED
-            return Result(outcome, found.body, found, success=200 <= found.status < 300)
+            return Result(outcome, found.body, found, len(found.headers), 200 <= found.status < 300)
         except TimedOut:
             return Result(Outcome.TIMED_OUT, success=False)
         except (Closed, ajp.BadPacket) as error:
--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ochrehoist.net.loop import Loop
-from ochrehoist.net.stream import listen
+from ochrehoist.net.stream import Closed, Stream, TimedOut, listen
 
 PAUSE = 0.05  # s without accepting when no descriptor is to be had
 
@@ -58,3 +58,29 @@
             self.stopped = True
             self.loop.forget(self.sock.fileno())
             self.sock.close()
+
+
+class Service:
+    """Something small that listens: each connection gets `serve`, and is closed when that ends."""
+
+    max_open = 16  # at once: a flood of them must not take the descriptors of requests
+
+    def __init__(self, loop: Loop, address: tuple[str, int] | str, log: Any) -> None:
+        self.loop, self.log = loop, log
+        self.listening = Listening(loop, address, self._accepted, self.max_open, log)
+
+    def _accepted(self, sock: socket.socket) -> Callable[[], None]:
+        stream = Stream(self.loop, sock)
+        stream.on_close = self.listening.closed
+        return lambda: self._run(stream)
+
+    def _run(self, stream: Stream) -> None:
+        try:
+            self.serve(stream)
+        except (Closed, TimedOut):
+            pass
+        finally:
+            stream.close_when_sent()
+
+    def serve(self, stream: Stream) -> None:
+        raise NotImplementedError
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -408,7 +408,8 @@
 class Program:
     """python -m ochrehoist, with stand-ins behind it; fronts are on as asked for."""
 
-    def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, **more):
+    def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, fault=None,
+                 **more):
         self.folder = tempfile.TemporaryDirectory()
         self.kernel, self.members, self.server = Kernel(), Members(), AjpServer()
         site, limits = site or settings(), {"memory_mb": 64, "sockets": sockets}
@@ -429,6 +430,9 @@
             env["EDGE_CONFIG"] = self.file("config.json", json.dumps(top | {
                 "listen": "127.0.0.1:0", "kernel": self.kernel.address, "members": self.members.address,
                 "seed": "8c1f30d27a5be964", "settings": site}))
+        if fault:  # run at the start of the interpreter, before the program itself
+            self.file("sitecustomize.py", fault)
+            env["PYTHONPATH"] = f"{self.folder.name}:{ROOT}"
         self.env, self.lines, self.at = env, [], {}
         self.process = subprocess.Popen([sys.executable, "-m", "ochrehoist"], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True)
--- a/tests/test_ajp_front.py
+++ b/tests/test_ajp_front.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 import struct
+import threading
 import time
 import unittest
 
@@ -294,33 +295,64 @@
         self.assertEqual(web.answer()[2], b"another's")
 
     def test_every_rule_holds_over_both_at_once(self):
-        routers, webs = [self.program.thrift() for _ in range(3)], [self.program.ajp() for _ in range(12)]
-        began = time.time()
-        calls = [(r, r.invoke("filing" if n % 3 == 0 else "read", b"%d" % n,
-                              **({"token": f"t{n}"} if n % 3 == 0 else {})))
-                 for r in routers for n in range(8)]  # each filing comes by all three
-        for n, web in enumerate(webs):
-            if n % 2:
-                filing = {"Idempotency-Key": f"t{n % 4 * 3}", "X-Tenant": "acme"}
-                web.request("POST", "/filings", filing, b"a")
+        kernel_ran, server_ran, done = [], [], threading.Event()
+
+        def run_kernel():  # both executors serve what comes, until the last phase
+            while not done.is_set():
+                rid, _, body = self.kernel.next()
+                kernel_ran.append(body)
+                self.kernel.reap(rid, body=b"kernel " + body)
+
+        def run_server():
+            while not done.is_set():
+                _, body, respond = self.server.next()
+                server_ran.append(body)
+                respond(200, b"server " + body)
+
+        workers = [threading.Thread(target=work) for work in (run_kernel, run_server)]
+        for worker in workers:
+            worker.start()
+        router, web, cut = self.program.thrift(), self.program.ajp(), self.program.ajp()
+        cut.forward("POST", "/filings", {"Idempotency-Key": "cut", "X-Tenant": "acme"}, length=9000)
+        cut.chunk(b"half")
+        cut.asked_for()
+        cut.close()
+        for n in range(24):  # each filing by both protocols, in turn the one or the other first
+            filing, body = n % 2, b"%d" % n
+            seqid, key = None, {"Idempotency-Key": f"t{n}", "X-Tenant": "acme"}
+            more = {"method": "filing", "token": f"t{n}"} if filing else {}
+            if n % 4 < 2:
+                seqid = router.invoke(body=body, **more)
+                router.ping()
+            web.request("POST", "/filings" if filing else "/reads/1", key if filing else {}, body)
+            seqid = seqid or router.invoke(body=body, **more)
+            (kind, _, by_thrift), (status, _, by_ajp) = router.answer(seqid), web.answer()
+            self.assertEqual((kind, status), ("Answer", 200))
+            if filing:  # one run, and both have its result
+                self.assertEqual(by_thrift, by_ajp)
+                self.assertIn(by_ajp, (b"kernel " + body, b"server " + body))
             else:
-                web.request()
-        for web in webs[:2]:
-            web.close()  # cut off while they wait or run
+                self.assertEqual((by_thrift, by_ajp), (b"kernel " + body, b"server " + body))
+        ran = [body for body in kernel_ran + server_ran if int(body) % 2]
+        self.assertEqual(sorted(ran), sorted(b"%d" % n for n in range(1, 24, 2)))
+        done.set()  # each takes one more, and from then on nothing that is started ends
+        last = router.invoke(body=b"last")
+        self.assertEqual(router.answer(last)[2], b"kernel last")
+        self.assertEqual(web.call("POST", "/reads/1", body=b"last")[2], b"server last")
+        for worker in workers:
+            worker.join()
+        # The notice to leave finds requests running and held on both fronts.
+        began, webs = time.time(), [self.program.ajp() for _ in range(6)]
+        open_ = [router.invoke(body=b"%d" % n) for n in range(6)]
+        for web in webs:
+            web.request()
         self.program.process.send_signal(signal.SIGTERM)
-        kinds = [router.answer(seqid)[0] for router, seqid in calls]
-        statuses = [web.answer()[0] for web in webs[2:]]
-        self.assertLess(time.time() - began, 1.8 + 0.13 + 0.3)
-        self.assertLessEqual(set(kinds), {"Throttled", "Broken"})  # nothing was reaped: none is served
-        self.assertLessEqual(set(statuses), {503, 504, 502})
-        ran = []
-        while not self.kernel.scheduled.empty():
-            ran.append(self.kernel.next()[2])
-        filings = [body for body in ran if int(body) % 3 == 0]
-        self.assertEqual(len(filings), len(set(filings)))
-        for router in routers:
-            router.farewell()
+        self.assertLessEqual({router.answer(seqid)[0] for seqid in open_}, {"Throttled", "Broken"})
+        self.assertLessEqual({web.answer()[0] for web in webs}, {503, 504})
+        self.assertLess(time.time() - began, 1.8 + 0.13)
+        router.farewell()
         self.assertEqual(self.program.ended(), 0)
+        self.assertNotIn(b"half", b"".join(kernel_ran + server_ran))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,94 @@
+"""Faults inside the decision module, put there as the real program starts, and in what the codecs read."""
+
+import time
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from stand_ins import Program
+
+from ochrehoist.net import ajp, thrift
+
+FAULT = """
+from ochrehoist import interface, rules
+handle, seen = rules.AdmissionController.handle, []
+def broken(self, now, event):
+    if isinstance(event, interface.Alarm) and len(seen) < 3 and not seen.append(event):
+        raise RuntimeError("an alarm")
+    if isinstance(event, interface.Request) and event.key == "fault":
+        handle(self, now, event)
+        raise RuntimeError("a request, half way")
+    return handle(self, now, event)
+rules.AdmissionController.handle = broken
+"""
+
+
+class Module(unittest.TestCase):
+    def test_a_fault_is_logged_with_its_trace_and_each_request_still_gets_one_answer(self):
+        program = Program(fault=FAULT)
+        self.addCleanup(program.close)
+        router, began = program.thrift(), time.time()
+        seqid = router.invoke(obj="fault")
+        self.assertEqual(router.answer(seqid)[0], "Broken")
+        self.assertLess(time.time() - began, 1.0)
+        served, late = router.invoke(body=b"good"), router.invoke(body=b"late")
+        runs = {body: rid for rid, _, body in (program.kernel.next(), program.kernel.next())}
+        program.kernel.reap(runs[b"good"], body=b"served")
+        self.assertEqual(router.answer(served)[2], b"served")
+        self.assertEqual(router.answer(late)[0], "Broken")  # alarms rang on after the three that failed
+        self.assertLess(time.time() - began, 1.8 + 0.5)
+        self.assertEqual(router.ping()[0], "Answer")
+        faults = program.said("fault in the decision module")
+        self.assertEqual(len(faults), 4)
+        self.assertTrue(all("Traceback" in fault["exception"] for fault in faults))
+
+
+FORWARD = b"".join([
+    b"\2\2", *(ajp.string(text) for text in (b"HTTP/1.1", b"/a", b"1", b"h", b"s")), b"\0\x50\0\0\2\xa0\x08",
+    *(ajp.string(text) for text in (b"5", b"x", b"y")), b"\x05", ajp.string(b"q"), b"\x0a", ajp.string(b"n"),
+    ajp.string(b"v"), b"\x0b\0\1\x0c", ajp.string(b"secret"), b"\xff"])
+INVOKE = thrift.message(thrift.CALL, b"invoke", 1, b"".join((
+    thrift.field(thrift.MAP, 1, thrift.strings({b"a": b"b"})),
+    thrift.field(thrift.STRING, 2, thrift.string(b"x")), thrift.END)))[4:]
+DAMAGE = st.lists(st.tuples(st.integers(0, 200), st.integers(0, 255)), max_size=4)
+
+
+def damaged(data, damage, end):
+    data = bytearray(data)
+    for at, byte in damage:
+        data[at % len(data)] = byte
+    return bytes(data[:len(data) - end])
+
+
+class Codecs(unittest.TestCase):
+    def test_what_is_not_damaged_is_read(self):
+        f = ajp.forward(FORWARD)
+        self.assertEqual((f.method, f.uri, f.length, f.secret), ("GET", b"/a", 5, b"secret"))
+        self.assertEqual(f.passed_on(b"secret"), FORWARD)
+        self.assertNotIn(b"secret", f.passed_on(None))
+
+    @given(DAMAGE, st.integers(0, 30))
+    def test_damaged_ajp_is_read_or_refused(self, damage, end):
+        try:
+            f = ajp.forward(damaged(FORWARD, damage, end))
+        except ajp.BadPacket:
+            return
+        self.assertTrue(f.method)
+        self.assertGreaterEqual(f.length, 0)
+
+    @given(DAMAGE, st.integers(0, 30))
+    def test_damaged_thrift_is_read_or_refused(self, damage, end):
+        try:
+            m = thrift.parse(damaged(INVOKE, damage, end))
+            for kind, number in m.args.fields():
+                if (kind, number) == (thrift.MAP, 1):
+                    self.assertLessEqual(len(m.args.strings()), 1)
+                else:
+                    m.args.skip(kind)
+        except thrift.BadFrame:
+            return
+        self.assertLessEqual(m.args.at, len(INVOKE))
+
+
+if __name__ == "__main__":
+    unittest.main()
