--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -1,24 +1,22 @@
 """The command line, and how the parts of one worker are put together."""
 
 import argparse
-import logging
 import signal
 import sys
 import time
 
-import structlog
-
 from ochrehoist import config as configuration
 from ochrehoist.config import Config
 from ochrehoist.core.owner import Owner
 from ochrehoist.core.requests import Booted, Leaving
+from ochrehoist.logs import LogSink, start_log
 from ochrehoist.net import agent
 from ochrehoist.net.admin import Admin, ask
 from ochrehoist.net.ajp_front import AjpFront
 from ochrehoist.net.ajp_server import AjpServers
 from ochrehoist.net.kernel import Kernel
 from ochrehoist.net.listener import Service
-from ochrehoist.net.loop import Loop, Signal
+from ochrehoist.net.loop import Loop, Signal, steady_clock
 from ochrehoist.net.members import Members
 from ochrehoist.net.thrift_front import ThriftFront
 from ochrehoist.settings import BadInput
@@ -32,23 +30,15 @@
 END_EARLY = 0.06  # s before it would be killed
 
 
-def start_log() -> structlog.typing.FilteringBoundLogger:
-    structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
-                    structlog.processors.format_exc_info, structlog.processors.JSONRenderer()],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr), cache_logger_on_first_use=True)
-    return structlog.get_logger()
-
-
 class Worker:
     """One worker: the core, its fronts and executors, on one scheduler."""
 
     def __init__(self, config: Config) -> None:
-        self.config, self.log = config, start_log().bind(name=config.name)
+        self.config, self.sink = config, LogSink(sys.stderr.fileno())
+        self.log = start_log(self.sink).bind(name=config.name)
         self.loop = loop = Loop(self.log)
         self.owner = owner = Owner(
-            config.settings, config.seed, Signal(loop), time.time_ns, self.log,
+            config.settings, config.seed, Signal(loop), steady_clock(), time.time_ns, self.log,
             int(config.memory_mb * 1e6 * RESULT_SHARE), lambda: self.gauge_source.measure())
         self.fronts: list[ThriftFront | AjpFront] = []
         self.tasks = [owner.run]
@@ -91,8 +81,9 @@
         self.leaving_since: float | None = None
 
     def run(self) -> int:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.on_signal(number, self.leave)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            if signal.getsignal(number) is not signal.SIG_IGN:  # as under nohup
+                self.loop.on_signal(number, self.leave)
         for task in self.tasks:
             self.loop.spawn(task)
         for part in self.listeners:
@@ -109,6 +100,7 @@
                 "up_s": round(time.monotonic() - self.started, 1), "in_hand": o.owed,
                 "running": sum(r.started for r in o.live.values()), "served": o.served, "refused": o.refused,
                 "failed": o.failed, "keys": len(o.keys.runs), "result_bytes": o.keys.bytes,
+                "log_dropped": self.sink.dropped,
                 "connections": {type(f).__name__: len(f.connections) for f in self.fronts}}
 
     def leave(self) -> dict:
@@ -153,18 +145,26 @@
     return 0
 
 
-def console(command: str, path: str | None) -> int:
+def console(command: str, path: str | None, every: float | None = None) -> int:
     config = configuration.load(path)
     if config.admin is None:
         raise BadInput("setting console.admin: missing")
-    try:
-        said = ask(config.admin, command)
-    except (OSError, ValueError) as error:
-        print(f"ochrehoist: no answer from the worker: {error}", file=sys.stderr)
-        return 1
-    for key, value in said.items():
-        print(f"{key:<14}{value}")
-    return 0
+    while True:
+        try:
+            said = ask(config.admin, command)
+        except (OSError, ValueError) as error:
+            print(f"ochrehoist: no answer from the worker: {error}", file=sys.stderr)
+            return 1
+        if every is None:
+            for key, value in said.items():
+                print(f"{key:<14}{value}")
+            return 0
+        flat = (f"{key}={value}" for key, value in said.items() if not isinstance(value, dict))
+        print(time.strftime("%H:%M:%S"), *flat, flush=True)
+        try:
+            time.sleep(max(0.1, every))
+        except KeyboardInterrupt:
+            return 0
 
 
 def main(arguments: list[str]) -> int:
@@ -173,14 +173,15 @@
     commands = parser.add_subparsers(dest="command", metavar="COMMAND")
     commands.add_parser("run", help="serve in the foreground (the default)")
     commands.add_parser("check", help="read a configuration and say what is wrong").add_argument("file")
-    commands.add_parser("status", help="ask the running worker how it is")
+    status = commands.add_parser("status", help="ask the running worker how it is")
+    status.add_argument("--every", metavar="SECONDS", type=float, help="and go on asking, a line each time")
     commands.add_parser("drain", help="let the running worker answer all it has read, and end")
     given = parser.parse_args(arguments)
     try:
         if given.command == "check":
             return check(given.file)
         if given.command in ("status", "drain"):
-            return console(given.command, given.config)
+            return console(given.command, given.config, getattr(given, "every", None))
         return serve(given.config)
     except BadInput as error:
         print(f"ochrehoist: {error}", file=sys.stderr)
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -37,11 +37,15 @@
 
 
 class Owner:
-    """The core. `measure` asks for gauges; they come back as a Gauges message, late or never."""
+    """The core. `measure` asks for gauges; they come back as a Gauges message, late or never.
 
-    def __init__(self, settings: i.Settings, seed: int, waker: Waker, clock: Callable[[], int], log: Any,
-                 result_bytes: int, measure: Callable[[], None]) -> None:
-        self.settings, self.seed, self.waker, self.clock, self.log = settings, seed, waker, clock, log
+    `clock` is Unix time that runs steadily; `wall` is the Unix clock as it stands, which may be set.
+    """
+
+    def __init__(self, settings: i.Settings, seed: int, waker: Waker, clock: Callable[[], int],
+                 wall: Callable[[], int], log: Any, result_bytes: int, measure: Callable[[], None]) -> None:
+        self.settings, self.seed, self.waker, self.log = settings, seed, waker, log
+        self.clock, self.wall = clock, wall
         self.measure = measure
         self.inbox: deque[Message] = deque()
         self.controller: AdmissionController | None = None
@@ -83,7 +87,7 @@
         self._fall_due()
 
     def _tick(self) -> None:
-        self.now = max(self.now, self.clock())  # the Unix clock may be set back; the module's may not
+        self.now = max(self.now, self.clock())
 
     def _timeout(self) -> float | None:
         if self.inbox:
@@ -110,7 +114,9 @@
             return self._answer(r, lambda: r.responder.refused(SECOND, False) if early
                                 else r.responder.failed(Reason.INTERNAL))
         cls = self.settings.classes[r.kind]
-        r.arrived = min(r.arrived, self.now)  # a time to come would put off its due time, and its window
+        # Told by the Unix clock, which may have been set since the start: only its distance from now counts.
+        # A time to come would put off the due time, and the window.
+        r.arrived = self.now - max(0, self.wall() - r.arrived)
         r.due = max(self.now, r.arrived + cls.deadline)
         if self.stop_at is not None:
             r.due = min(r.due, self.stop_at - LAST_CALL)
--- a/ochrehoist/net/loop.py
+++ b/ochrehoist/net/loop.py
@@ -12,6 +12,12 @@
 from greenlet import GreenletExit, getcurrent, greenlet
 
 
+def steady_clock() -> Callable[[], int]:
+    """Unix time in ns as of now, kept by the monotonic clock: setting the clock does not move it."""
+    start = time.time_ns() - time.monotonic_ns()
+    return lambda: time.monotonic_ns() + start
+
+
 class Timer:
     __slots__ = ("when", "call")
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -409,7 +409,7 @@
     """python -m ochrehoist, with stand-ins behind it; fronts are on as asked for."""
 
     def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, fault=None,
-                 **more):
+                 stall_log=False, **more):
         self.folder = tempfile.TemporaryDirectory()
         self.kernel, self.members, self.server = Kernel(), Members(), AjpServer()
         site, limits = site or settings(), {"memory_mb": 64, "sockets": sockets}
@@ -437,7 +437,7 @@
         self.process = subprocess.Popen([sys.executable, "-m", "ochrehoist"], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True)
         self.started = threading.Event()
-        self.expected = thrift + 4 * ajp
+        self.expected, self.stall_log = thrift + 4 * ajp, stall_log
         self.reader = threading.Thread(target=self._read, daemon=True)
         self.reader.start()
         assert self.started.wait(PATIENCE), self.lines
@@ -456,6 +456,8 @@
                 self.at[self.lines[-1]["part"]] = self.lines[-1]["listen"]
             if len(self.at) == self.expected:
                 self.started.set()
+                if self.stall_log:
+                    return
 
     def thrift(self):
         return Thrift(self.at["ThriftFront"])
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from stand_ins import Program
+from test_thrift_front import DUE
 
 from ochrehoist.net import ajp, thrift
 
@@ -43,6 +44,38 @@
         self.assertTrue(all("Traceback" in fault["exception"] for fault in faults))
 
 
+CLOCK = """
+import os, time
+real, flag = time.time_ns, os.path.join(os.path.dirname(__file__), "set")
+time.time_ns = lambda: real() - 3_600_000_000_000 * os.path.exists(flag)
+"""
+
+
+class Surroundings(unittest.TestCase):
+    def test_a_clock_that_is_set_back_puts_off_no_answer(self):
+        program = Program(fault=CLOCK)
+        self.addCleanup(program.close)
+        router = program.thrift()
+        self.assertEqual(router.ping()[0], "Answer")
+        program.file("set", "")
+        began = time.time()
+        seqid = router.invoke(t0=str(int((began - 3600) * 1000)))
+        program.kernel.next()  # it was in time, by the clock as it is now
+        self.assertEqual(router.answer(seqid)[0], "Broken")
+        self.assertGreater(time.time() - began, 1.0)
+        self.assertLess(time.time() - began, DUE)
+
+    def test_a_log_that_nobody_reads_holds_up_no_one(self):
+        program = Program(stall_log=True)
+        self.addCleanup(program.close)
+        for _ in range(1200):  # a line of the log each, far more than a pipe takes
+            bad = program.thrift()
+            bad.sock.sendall(b"\0\0\0\4junk")
+            self.assertEqual(bad.sock.recv(1), b"")
+            bad.close()
+        self.assertEqual(program.thrift().ping()[0], "Answer")
+
+
 FORWARD = b"".join([
     b"\2\2", *(ajp.string(text) for text in (b"HTTP/1.1", b"/a", b"1", b"h", b"s")), b"\0\x50\0\0\2\xa0\x08",
     *(ajp.string(text) for text in (b"5", b"x", b"y")), b"\x05", ajp.string(b"q"), b"\x0a", ajp.string(b"n"),
