Read AJP keys as UTF-8 like Thrift's, check more limits, and test what reports do after an outage

An Idempotency-Key beyond ASCII was read as Latin-1 and Thrift's token as UTF-8 (ajp_front.py check()), so one filing by both protocols would have been two and run twice; what is not UTF-8 gets 400. The membership test claimed more than it checked: it now waits for a report after the outage. New tests: an id that comes twice, the 33rd request open on a connection.

--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -27,7 +27,7 @@
 RESERVED = 24  # descriptors for all that is no accepted connection
 CONSOLE = 3 * Service.max_open + 3  # and for the console and the checks, where they are on
 QUIET = 0.05  # s without a request in hand before a drained worker ends
-END_EARLY = 0.06  # s before it would be killed
+END_EARLY = 0.1  # s before it would be killed; the core answers what is left a little earlier still
 
 
 class Worker:
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -196,7 +196,9 @@
         data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
         raise BadInput(f"setting {key}: {path}: {error}") from None
-    return _only(Reader(data, ""), "name", "stop_ms", "limits", "ajp", "console", "settings")
+    top = _only(Reader(data, ""), "name", "stop_ms", "limits", "ajp", "console", "settings")
+    _only(top.part("limits", {}), "memory_mb", "sockets")
+    return top
 
 
 def _second_front(top: Reader, settings: Settings) -> dict[str, Any]:
--- a/ochrehoist/net/ajp.py
+++ b/ochrehoist/net/ajp.py
@@ -4,6 +4,7 @@
 """
 
 import struct
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 TO_CONTAINER, TO_SERVER = b"\x12\x34", b"AB"
@@ -188,7 +189,7 @@
     return packet(TO_SERVER, bytes((GET_BODY,)) + _U16.pack(size))
 
 
-def headers(status: int, reason: str, values: list[tuple[int | bytes, bytes]]) -> bytes:
+def headers(status: int, reason: str, values: Sequence[tuple[int | bytes, bytes]]) -> bytes:
     named = b"".join((_U16.pack(n) if isinstance(n, int) else string(n)) + string(v) for n, v in values)
     return bytes((HEADERS,)) + _U16.pack(status) + string(reason.encode()) + _U16.pack(len(values)) + named
 
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -31,6 +31,14 @@
         self.status = status
 
 
+def _text(f: ajp.Forward, header: bytes) -> str:
+    """UTF-8, as on Thrift: a key read in two ways would be two filings, and run twice."""
+    try:
+        return f.headers.get(header, b"").decode()
+    except UnicodeDecodeError:
+        raise Rejected(HTTPStatus.BAD_REQUEST, f"{header.decode()} is not UTF-8") from None
+
+
 class AjpReader:
     """Reads a Forward Request into a core request, by the rules of the configuration."""
 
@@ -55,10 +63,10 @@
             raise Rejected(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
         if len(f.packet) + self.longest_secret > self.config.packet_size - ajp.HEAD:
             raise Rejected(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "no room for the server's secret")
-        tenant = f.headers.get(self.config.tenant_header, b"").decode("latin-1") or self.config.default_tenant
+        tenant = _text(f, self.config.tenant_header) or self.config.default_tenant
         if tenant is not None and self.tenants and tenant not in self.tenants:
             raise Rejected(HTTPStatus.BAD_REQUEST, "unknown tenant")
-        token = f.headers.get(self.config.key_header, b"").decode("latin-1").strip()
+        token = _text(f, self.config.key_header).strip()
         if len(token) > 1 and token[0] == token[-1] == '"':  # the header's own form is a quoted string
             token = token[1:-1]
         if self.owner.settings.classes[kind].repeat is not Repeat.KEYED:
--- a/ochrehoist/net/loop.py
+++ b/ochrehoist/net/loop.py
@@ -22,7 +22,8 @@
     __slots__ = ("when", "call")
 
     def __init__(self, when: float, call: Callable[[], None]) -> None:
-        self.when, self.call = when, call
+        self.when = when
+        self.call: Callable[[], None] | None = call
 
     def cancel(self) -> None:
         self.call = None
@@ -44,7 +45,7 @@
         self.hub = getcurrent()
         self.stopped = False
         self.forgotten: set[int] = set()  # closed in this round: their number may be in use again already
-        self.signals: dict[int, Callable[[], None]] = {}
+        self.signals: dict[int, Callable[[], Any]] = {}
 
     # ---- tasks
     def spawn(self, run: Callable[..., Any], *args: Any) -> greenlet:
@@ -101,7 +102,7 @@
         self._register(fd)
 
     # ---- signals
-    def on_signal(self, number: int, call: Callable[[], None]) -> None:
+    def on_signal(self, number: int, call: Callable[[], Any]) -> None:
         """`call` runs on the hub; the pipe wakes a poll that the handler alone would not end (PEP 475)."""
         if not self.signals:
             reader, writer = os.pipe()
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -85,6 +85,9 @@
             pass
         self.sock.close()
 
+    def come_back(self):
+        Listener.__init__(self, int(self.address.split(":")[1]))
+
     def close(self):
         self.refuse()
         self.drop_links()
@@ -98,9 +101,6 @@
         self.lock = threading.Lock()
         super().__init__()
 
-    def come_back(self):
-        super().__init__(int(self.address.split(":")[1]))
-
     def talk(self, sock):
         for line in sock.makefile("rb"):
             m = json.loads(line)
--- a/tests/test_ajp_front.py
+++ b/tests/test_ajp_front.py
@@ -54,6 +54,7 @@
         for status, how in ((404, {"uri": "/none"}), (404, {"uri": "/filings", "method": "GET"}),
                             (400, {"uri": "/filings", "method": "POST", "body": b"no key"}),
                             (400, {"headers": {"X-Tenant": "who"}}),
+                            (400, {"headers": {"X-Tenant": b"\xff"}}),
                             (413, {"method": "POST", "body": b"x" * (1 << 20 | 1)})):
             with self.subTest(how=str(how)[:60]):
                 web = self.program.ajp()
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -35,6 +35,7 @@
                 ("setting ajp.headers.key", {"ajp": {"headers": {"key": "no header"}}}),
                 ("setting ajp.default_tenant", {"ajp": {"default_tenant": "who"}}),
                 ("setting ajp.secrte", {"ajp": {"secrte": "misspelt"}}),
+                ("setting limits.memory", {"limits": {"memory": 1}}),
                 ("setting console.admin", {"console": {"admin": "unix:/no/such/folder/sock"}}),
                 ("setting console.health", {"console": {"health": "192.0.2.1:80"}}),
                 ("setting FleetSize", {"settings": {"FleetSize": 0}}),
--- a/tests/test_thrift_front.py
+++ b/tests/test_thrift_front.py
@@ -58,6 +58,21 @@
         self.assertEqual(kind, "Broken")
         self.assertLess(time.time() - t0, DUE)
 
+    def test_an_id_that_comes_again_while_the_first_is_in_hand_runs_once(self):
+        router = self.program.thrift()
+        first, again = router.invoke(rid="0123456789abcdef"), router.invoke(rid="0123456789abcdef")
+        self.assertEqual(router.answer(again)[0], "Broken")
+        self.kernel.reap(self.kernel.next()[0], body=b"one")
+        self.assertEqual(router.answer(first)[2], b"one")
+        self.assertTrue(self.kernel.scheduled.empty())
+
+    def test_more_than_32_open_on_one_connection(self):
+        router = self.program.thrift()
+        filings = [router.invoke("filing", token="t") for _ in range(33)]  # one runs, the rest wait for it
+        self.assertEqual(router.answer(filings[32])[0], "Exception")
+        self.kernel.reap(self.kernel.next()[0], body=b"filed")
+        self.assertEqual({router.answer(seqid)[2] for seqid in filings[:32]}, {b"filed"})
+
     def test_a_time_to_come_does_not_put_off_the_due_time(self):
         router, began = self.program.thrift(), time.time()
         self.assertEqual(router.call(t0="999999999999999")[0], "Broken")
@@ -169,6 +184,7 @@
             with self.subTest(fields):
                 self.assertEqual(router.call(**fields)[0], "Exception")
         self.assertEqual(router.answer(router.send("fly", b"\0"))[0], "Exception")
+        self.assertEqual(router.answer(router.send("invoke", b"\0"))[0], "Exception")
         self.assertTrue(self.kernel.scheduled.empty())
 
     def test_a_reader_that_takes_nothing_holds_up_no_one(self):
@@ -228,6 +244,10 @@
         seqid = router.invoke()
         self.kernel.reap(self.kernel.next()[0], body=b"served")
         self.assertEqual(router.answer(seqid)[2], b"served")
+        while not [line for line in self.program.said("membership reports") if not line["accepted"]]:
+            router.ping()
+        self.program.members.come_back()
+        self.program.members.wait_for("UP")
 
 
 class KeepAlive(Case):
