Learn run times free of crowding, so that a past crowd cannot lock a class out

A probe that logged the learned means each second (log line only, not committed) showed them stuck: 404, 421, 745 ms with hardly any new weight, beside 93 to 130 ms where the worker was well. Faulty: rules.py _on_completed learned e.took as it was, though more runs than cores stretch each other; _rank then refused on it for good, since only finishes correct it.

--- a/ochrehoist/rules.py
+++ b/ochrehoist/rules.py
@@ -166,6 +166,11 @@
     def _rate(self):  # finishes a second with the cores full
         return self.curve.mu(max(self.floor, min(self.cores, self.curve.crowd)))
 
+    # Past the cores, runs share them and take longer: a time learned in a crowd would, once it has gone, keep
+    # away work that idle cores could end in time, and with it the finishes that would correct it.
+    def _crowding(self, n):
+        return max(1.0, min(n, self.floor) / self.s.cores)
+
     # ---- arrivals
     def _on_request(self, r):
         s, c = self.s, self.s.classes[r.kind]
@@ -250,7 +255,8 @@
         ranked, run = [], S / self._rate()
         for j in sorted(self.held.values(), key=lambda h: -self._value(h)):
             wait = max(0, len(ranked) + 1 - starts) * run  # what starts now waits for none
-            need = wait + MARGIN * self.took[j.r.kind].value if ranked or self.cores + self.out else 0
+            took = self.took[j.r.kind].value * self._crowding(self.cores + len(ranked) + 1)
+            need = wait + MARGIN * took if ranked or self.cores + self.out else 0
             if self.stalled or self.now + need > j.aim:
                 self._refuse(j)
             else:
@@ -302,7 +308,7 @@
         if j.state == CORE:
             if e.outcome is Outcome.OK and not self.stalled:
                 self.curve.done[min(self.cores, self.curve.crowd + 1)] += self._warmth() >= 1
-                self.took[j.r.kind].add(self.now, e.took)
+                self.took[j.r.kind].add(self.now, e.took / self._crowding(self.cores))
             idle = self.busy < FULL_LOAD and self.held
             self.floor = max(self.s.cores, min(self.curve.crowd, self.floor + (1 if idle else -1)))
             self.progress = self.now
