Read the configuration again on SIGHUP: links move, runs, keys and connections go on

Cause: `Worker.run` bound SIGHUP to `leave`, as SIGTERM. Nothing could take a changed address: the kernel link and the membership reports held theirs for good, and a link that has gone silent would have been waited for.

Now SIGHUP reads the file through config.py, which checks it whole; a bad one is logged and changes nothing. `config.taken_over` says what a running worker can take (kernel and membership addresses; the appliance's servers, rules, secrets and times) and names the keys that need a restart. The kernel link drops the old link at once and asks the new one for all after its offset; a move does not wait for a pause between tries. Servers of the appliance that stay keep their connections; what runs on one that goes is still answered. SIGTERM and `drain` drain as before.

--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 from ochrehoist import config as configuration
 from ochrehoist.config import Config
@@ -33,8 +34,8 @@
 class Worker:
     """One worker: the core, its fronts and executors, on one scheduler."""
 
-    def __init__(self, config: Config) -> None:
-        self.config, self.sink = config, LogSink(sys.stderr.fileno())
+    def __init__(self, config: Config, path: str | None = None) -> None:
+        self.config, self.path, self.sink = config, path, LogSink(sys.stderr.fileno())
         self.log = start_log(self.sink).bind(name=config.name)
         self.loop = loop = Loop(self.log)
         self.owner = owner = Owner(
@@ -42,6 +43,7 @@
             int(config.memory_mb * 1e6 * RESULT_SHARE), lambda: self.gauge_source.measure())
         self.fronts: list[ThriftFront | AjpFront] = []
         self.tasks = [owner.run]
+        self.takers: list[Callable[[Config], None]] = []  # parts that take a configuration read again
         room = config.sockets - RESERVED
         if config.admin or config.agent or config.health:
             room -= CONSOLE
@@ -56,16 +58,20 @@
             if most < 1:
                 raise BadInput(f"setting limits.sockets: too few: {config.sockets}")
             room -= most
-            self.fronts.append(AjpFront(loop, owner, servers, config.ajp, most, body_bytes, self.log))
+            front = AjpFront(loop, owner, servers, config.ajp, most, body_bytes, self.log)
+            self.fronts.append(front)
+            self.takers += [lambda new: servers.configure(new.ajp), lambda new: front.configure(new.ajp)]
         if config.listen:
             self.gauge_source = kernel = Kernel(loop, owner, config.kernel, config.gauges, self.log)
             self.tasks.append(kernel.run)
+            self.takers.append(lambda new: kernel.move(new.kernel))
             self.fronts.append(ThriftFront(loop, owner, kernel, config.listen, room, self.log))
         else:
             owner.post(Booted(None, 0))
         if config.members:
             members = Members(loop, owner, config.members, config.name, self.log)
             self.tasks.append(members.run)
+            self.takers.append(lambda new: members.move(new.members))
             owner.listeners.append(members)
         owner.listeners += self.fronts
         self.listeners: list = list(self.fronts)
@@ -81,9 +87,10 @@
         self.leaving_since: float | None = None
 
     def run(self) -> int:
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        for number, call in ((signal.SIGTERM, self.leave), (signal.SIGINT, self.leave),
+                             (signal.SIGHUP, self.reload)):
             if signal.getsignal(number) is not signal.SIG_IGN:  # as under nohup
-                self.loop.on_signal(number, self.leave)
+                self.loop.on_signal(number, call)
         for task in self.tasks:
             self.loop.spawn(task)
         for part in self.listeners:
@@ -103,6 +110,20 @@
                 "log_dropped": self.sink.dropped,
                 "connections": {type(f).__name__: len(f.connections) for f in self.fronts}}
 
+    def reload(self) -> None:
+        """Reads the configuration again, whole, and hands what can change to its parts.
+
+        Nothing is lost by it: runs, keys, notices and open connections go on. A bad file changes nothing.
+        """
+        try:
+            self.config, fixed = configuration.taken_over(self.config, configuration.load(self.path))
+        except BadInput as error:
+            self.log.error("configuration can't be used, the old one stays", why=str(error))
+            return
+        for take in self.takers:
+            take(self.config)
+        self.log.info("configuration read again", needs_a_restart=fixed)
+
     def leave(self) -> dict:
         if self.leaving_since is None:
             self.leaving_since = time.monotonic()
@@ -132,7 +153,7 @@
 def serve(path: str | None) -> int:
     config = configuration.load(path)
     try:
-        worker = Worker(config)
+        worker = Worker(config, path)
     except OSError as error:
         raise BadInput(f"setting listen, or an address of the console: {error}") from None
     return worker.run()
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -6,7 +6,7 @@
 import secrets
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -247,3 +247,30 @@
     if not path and environment.get("EDGE_CONFIG"):
         return load_platform(environment["EDGE_CONFIG"], environment)
     return load_appliance(path or environment.get("OCHREHOIST_AJP") or APPLIANCE_FILE)
+
+
+# ---- a configuration read again while the worker runs
+
+LIVE = frozenset({"kernel", "members"})
+FIXED_AJP = frozenset({"listen", "packet_size", "max_response", "max_connections"})  # in use by connections
+
+
+def _differing(old: Any, new: Any) -> set[str]:
+    return {f.name for f in fields(old) if getattr(old, f.name) != getattr(new, f.name)}
+
+
+def taken_over(old: Config, new: Config) -> tuple[Config, list[str]]:
+    """The old configuration with what can change in a running worker, and the keys that differ but can't."""
+    differing = _differing(old, new) - {"seed", "ajp"}  # the seed was used up at the start
+    for key in LIVE & differing:  # a part that was not started has nothing to hand the address to
+        if None not in (getattr(old, key), getattr(new, key)):
+            differing.remove(key)
+            old = replace(old, **{key: getattr(new, key)})
+    if None in (old.ajp, new.ajp):
+        return old, sorted(differing | ({"ajp"} if old.ajp is not new.ajp else set()))
+    changed = _differing(old.ajp, new.ajp)
+    fixed = changed & FIXED_AJP
+    if sum(s.max_idle for s in new.ajp.servers) > sum(s.max_idle for s in old.ajp.servers):
+        fixed.add("servers")  # the descriptors for them were set aside at the start
+    live = {key: getattr(new.ajp, key) for key in changed - fixed}
+    return replace(old, ajp=replace(old.ajp, **live)), sorted(differing | {f"ajp.{key}" for key in fixed})
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -43,10 +43,14 @@
     """Reads a Forward Request into a core request, by the rules of the configuration."""
 
     def __init__(self, owner: Owner, executor: Executor, config: AjpConfig) -> None:
-        self.owner, self.executor, self.config = owner, executor, config
+        self.owner, self.executor = owner, executor
+        self.configure(config)
         self.tenants = {t.name: at for at, t in enumerate(owner.settings.tenants)}
         self.kinds = {c.name: at for at, c in enumerate(owner.settings.classes)}
         self.ids = itertools.count(1)
+
+    def configure(self, config: AjpConfig) -> None:
+        self.config = config
         self.longest_secret = max(len(s.secret.encode()) + 4 if s.secret else 0 for s in config.servers)
 
     def check(self, f: ajp.Forward) -> tuple[int, int | None, str | None]:
@@ -141,9 +145,10 @@
         stream.on_close = lambda: front.closed(self)
 
     def run(self) -> None:
-        config, size = self.front.config, self.front.config.packet_size
+        size = self.front.config.packet_size
         try:
             while not self.stream.closing:
+                config = self.front.config  # as it is now: it may be read again
                 # Only the wait for the first byte may be long: a packet begun must come whole.
                 if not self.stream.buffer:
                     self.stream.fill(config.idle_s)
@@ -254,6 +259,10 @@
         self.draining = False
         self.listening = Listening(loop, config.listen, self._accepted, max_connections, log)
 
+    def configure(self, config: AjpConfig) -> None:
+        self.config = config
+        self.reader.configure(config)
+
     def _accepted(self, sock: socket.socket) -> Callable[[], None]:
         # Room for one response and some: a client that reads slowly holds up nobody else.
         stream = Stream(self.loop, sock, self.config.max_response * 2 + 65536)
--- a/ochrehoist/net/ajp_server.py
+++ b/ochrehoist/net/ajp_server.py
@@ -51,6 +51,14 @@
         self.max_bytes, self.bytes = max_bytes, 0  # of responses that are being read
         loop.call_later(1.0, self._sweep)
 
+    def configure(self, config: AjpConfig) -> None:
+        """Takes a changed configuration: servers that stay keep their connections, what runs goes on."""
+        self.config, before = config, {pool.server: pool for pool in self.pools}
+        self.pools = [before.pop(server, None) or Pool(server) for server in config.servers]
+        for pool in before.values():
+            while pool.idle:
+                pool.idle.pop()[0].close()
+
     def start(self, request: Inbound) -> None:
         self.running += 1
         self.loop.spawn(self._run, request)
@@ -153,7 +161,8 @@
             return Result(Outcome.FAILED, success=False)
         finally:
             self.bytes -= len(body)
-            if reuse and not stream.buffer and not stream.ended and len(pool.idle) < pool.server.max_idle:
+            if reuse and not stream.buffer and not stream.ended and len(pool.idle) < pool.server.max_idle \
+                    and any(pool is known for known in self.pools):
                 pool.idle.append((stream, time.monotonic()))
             else:
                 stream.close()
--- a/ochrehoist/net/kernel.py
+++ b/ochrehoist/net/kernel.py
@@ -9,13 +9,13 @@
 from ochrehoist.core.owner import Owner
 from ochrehoist.core.requests import Booted, Ended, Gauges, Inbound, Result
 from ochrehoist.interface import Outcome, Repeat
-from ochrehoist.net.loop import Loop
+from ochrehoist.net.loop import Loop, Signal
 from ochrehoist.net.stream import Closed, Stream, TimedOut, connect
 
 MS = 1_000_000
 MAX_LINE = 1 << 20
 RETRY = 0.05  # s between tries to get a link
-CONNECT = 1.0
+CONNECT = 0.25  # s for a link to a process on this machine: what hangs must not hold up a move
 LOST = 30.0  # s after a new link until a filing that the old one may have lost counts as failed
 OUTCOMES = {"OK": Outcome.OK, "ERROR": Outcome.FAILED, "STOPPED": Outcome.CANCELLED, "MOOT": Outcome.MOOT}
 
@@ -30,7 +30,9 @@
     def __init__(self, loop: Loop, owner: Owner, address: tuple[str, int], gauges: tuple[str, ...],
                  log: Any) -> None:
         self.loop, self.owner, self.address, self.gauges, self.log = loop, owner, address, gauges, log
-        self.stream: Stream | None = None
+        self.stream: Stream | None = None  # once the kernel is up
+        self.link: Stream | None = None  # the same, from its start
+        self.moved = Signal(loop)
         self.offset = 0
         self.running: dict[str, Inbound] = {}  # started and not reaped
         self.unsent: set[str] = set()  # started while there was no link: never given to any kernel link
@@ -54,25 +56,40 @@
         self.stream.write(_line(cmd="SCHED", req=r.id, method=r.payload.method,
                                 payload=base64.b64encode(r.payload.body).decode()))
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The kernel is reached at another address from now on; what runs there goes on.
+
+        The old link is not waited for: it may have gone silent already, and its notices are told again.
+        """
+        if address != self.address:
+            self.address = address
+            self.moved.set()
+            if self.link is not None:
+                self.link.close()
+
     # ---- the link
     def run(self) -> None:
         while True:
+            address = self.address
             try:
-                stream = connect(self.loop, self.address, CONNECT)
+                self.link = stream = connect(self.loop, address, CONNECT)
             except OSError:
-                self.loop.sleep(RETRY)
+                if address == self.address:
+                    self.moved.wait(RETRY)
                 continue
             try:
-                self._talk(stream)
+                if address == self.address:  # else it was moved while the connection was being made
+                    self._talk(stream)
             except (Closed, TimedOut):
                 pass
             except Exception:
                 self.log.exception("fault on the kernel link")
             finally:
-                self.stream = None
+                self.stream = self.link = None
                 stream.close()
             self.log.warning("kernel link lost", offset=self.offset, running=len(self.running))
-            self.loop.sleep(RETRY)
+            if address == self.address:
+                self.moved.wait(RETRY)
 
     def _talk(self, stream: Stream) -> None:
         stream.write(_line(cmd="OPEN", offset=self.offset))
--- a/ochrehoist/net/members.py
+++ b/ochrehoist/net/members.py
@@ -61,6 +61,14 @@
             self.stream = None
         return status
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The service is reached at another address from now on: it is reported to at once."""
+        if address != self.address:
+            self.address = address
+            if self.stream is not None:
+                self.stream.close()
+            self.changed.set()
+
     def health_changed(self, good: bool) -> None:
         self.changed.set()
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -4,6 +4,7 @@
 import json
 import os
 import queue
+import signal
 import socket
 import struct
 import subprocess
@@ -44,6 +45,10 @@
     return json.dumps(value)
 
 
+def toml_file(top):
+    return "\n".join(f"{key} = {toml(value)}" for key, value in top.items())
+
+
 class Listener:
     """A loopback server; each connection gets a thread."""
 
@@ -94,10 +99,11 @@
 
 
 class Kernel(Listener):
-    """Runs nothing by itself: a test takes what is scheduled and reaps it."""
+    """Runs nothing by itself: a test takes what is scheduled and reaps it. It may go on from another."""
 
-    def __init__(self):
-        self.notices, self.scheduled, self.opened, self.out = [], queue.Queue(), queue.Queue(), None
+    def __init__(self, notices=()):
+        self.notices, self.out = list(notices), None
+        self.scheduled, self.opened = queue.Queue(), queue.Queue()
         self.lock = threading.Lock()
         super().__init__()
 
@@ -425,11 +431,13 @@
         top = {"name": "n1", "stop_ms": stop_ms, "limits": limits}
         if ajp:
             whole = top | {"ajp": front, "console": console, "settings": site}
-            env["OCHREHOIST_AJP"] = self.file("ajp.toml", "\n".join(f"{k} = {toml(whole[k])}" for k in whole))
+            env["OCHREHOIST_AJP"] = self.file("ajp.toml", toml_file(whole))
+            self.appliance = whole
         if thrift:
-            env["EDGE_CONFIG"] = self.file("config.json", json.dumps(top | {
+            self.config = top | {
                 "listen": "127.0.0.1:0", "kernel": self.kernel.address, "members": self.members.address,
-                "seed": "8c1f30d27a5be964", "settings": site}))
+                "seed": "8c1f30d27a5be964", "settings": site}
+            env["EDGE_CONFIG"] = self.file("config.json", json.dumps(self.config))
         if fault:  # run at the start of the interpreter, before the program itself
             self.file("sitecustomize.py", fault)
             env["PYTHONPATH"] = f"{self.folder.name}:{ROOT}"
@@ -459,6 +467,17 @@
                 if self.stall_log:
                     return
 
+    def reload(self, name, content, event="configuration read again"):
+        """Replaces a configuration file, as the platform does, sends SIGHUP, and gives what the log says."""
+        known = len(self.said(event))
+        os.replace(self.file("new", content), Path(self.folder.name, name))
+        self.process.send_signal(signal.SIGHUP)
+        until = time.monotonic() + PATIENCE
+        while len(self.said(event)) == known:
+            assert time.monotonic() < until and self.process.poll() is None, self.lines
+            time.sleep(0.002)  # the log is read by another thread
+        return self.said(event)[-1]
+
     def thrift(self):
         return Thrift(self.at["ThriftFront"])
 
