Give bad clients an error or a close in time, let idle connections make room, tell filings apart

Checked: CPU (0.2 s a second at most) and memory (20 MB of 64) ruled out; no fault in the logs.

At fault: Thrift filings had no fingerprint, so a key with another body was joined to the run of the first (`keys.same` took the missing one for a match). `Connection.run` waited for ever for the first frame and for the rest of one begun. `Listening._accept` stopped at the limit and left routers in the backlog behind connections that nobody used; `_sweep` ended idle ones only past 1 s while full, and waited 2 s more after the farewell.

Now, in both fronts: a new connection gets its first answer within 2.5 s or is closed, what was begun must come whole in that time (`Stream.take` counts it for all bytes, not for each read), and a full table closes the idle connection that is missed least. Thrift: one that asked once and stays is sent away where the table is an eighth full; one that was never served is read at 100 calls a second; a number in use ends the connection; bodies over 2 KiB, mem 0 and requests past their due time never reach the module. A fingerprint has a target, where the wire has one, and a body, so filings are told apart across both wires. What the kernel rejects with EINVAL never ran: its key is free again and the module learns nothing of it. Bad frames are logged a line a second.

--- a/ochrehoist/core/keys.py
+++ b/ochrehoist/core/keys.py
@@ -6,7 +6,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from ochrehoist.core.requests import KeyId, Result
+from ochrehoist.core.requests import Fingerprint, KeyId, Result
 
 NOBODY = (None, 0, None)
 
@@ -17,7 +17,7 @@
 
     id: str
     window_end: int
-    fingerprint: bytes | None
+    fingerprint: Fingerprint | None
     result: Result | None = None
     dropped: bool = False  # the result was too much to keep; the run itself is never forgotten early
     waiters: list[str] = field(default_factory=list)
@@ -29,7 +29,7 @@
     def __init__(self, slack: int, max_bytes: int) -> None:
         self.slack, self.max_bytes, self.bytes = slack, max_bytes, 0
         # By token: the try that holds the entry, until when, and a fingerprint of its content.
-        self.entries: dict[KeyId, tuple[str, int, bytes | None]] = {}
+        self.entries: dict[KeyId, tuple[str, int, Fingerprint | None]] = {}
         self.held_by: dict[str, KeyId] = {}
         self.runs: dict[KeyId, Run] = {}
         self.stored: OrderedDict[KeyId, int] = OrderedDict()  # sizes of the results kept, oldest first
@@ -42,15 +42,19 @@
         run = self.runs.get(token)
         return run.id if run is not None and arrived <= run.window_end else None
 
-    def same(self, token: KeyId, arrived: int, fingerprint: bytes | None) -> bool:
+    def same(self, token: KeyId, arrived: int, fingerprint: Fingerprint | None) -> bool:
         """False where the token stands for other content, as far as both are known."""
         _, until, known = self.entries.get(token, NOBODY)
         run = self.runs.get(token)
         if run is not None and arrived <= run.window_end:
             until, known = run.window_end, known or run.fingerprint
-        return arrived > until or None in (known, fingerprint) or known == fingerprint
+        if arrived > until or known is None or fingerprint is None:
+            return True
+        # Only one wire tells a target: there it counts, the body counts everywhere.
+        targets = {known[0], fingerprint[0]} - {None}
+        return known[1] == fingerprint[1] and len(targets) < 2
 
-    def keep(self, token: KeyId, holder: str, until: int, fingerprint: bytes | None) -> None:
+    def keep(self, token: KeyId, holder: str, until: int, fingerprint: Fingerprint | None) -> None:
         self._drop(token)
         self.entries[token], self.held_by[holder] = (holder, until, fingerprint), token
 
@@ -68,10 +72,18 @@
         run = self.runs.get(token)
         return run is None or (arrived > run.window_end and (run.result is not None or run.dropped))
 
-    def started(self, token: KeyId, holder: str, window_end: int, fingerprint: bytes | None) -> None:
+    def started(self, token: KeyId, holder: str, window_end: int, fingerprint: Fingerprint | None) -> None:
         self._release(token)
         self.runs[token] = Run(holder, window_end, fingerprint)
 
+    def never_ran(self, token: KeyId, holder: str) -> list[str]:
+        """Takes back a run that was never begun: a later try may run. Gives the repeats that waited."""
+        run = self.runs.get(token)
+        if run is None or run.id != holder:
+            return []
+        del self.runs[token]
+        return run.waiters
+
     def ended(self, token: KeyId, holder: str, result: Result, kept_bytes: int) -> list[str]:
         """Stores the result of a run and gives the repeats that waited for it."""
         run = self.runs.get(token)
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -118,6 +118,10 @@
         # A time to come would put off the due time, and the window.
         r.arrived = self.now - max(0, self.wall() - r.arrived)
         r.due = max(self.now, r.arrived + cls.deadline)
+        if r.arrived + cls.deadline <= self.now:
+            # Its caller has given up. The module would take so long a wait for what all others wait now.
+            r.answered = True
+            return self._answer(r, lambda: r.responder.failed(Reason.GIVEN_UP))
         if self.stop_at is not None:
             r.due = min(r.due, self.stop_at - LAST_CALL)
         if r.token is not None and not self.keys.same(r.token, r.arrived, r.fingerprint):
@@ -145,7 +149,10 @@
         if r is None:  # the module let it go before, or never knew that it was over
             self._handle(i.Completed(m.id, m.result.outcome, m.took))
             return
-        if r.token is not None:
+        if r.token is not None and m.result.outcome in i.NEVER_RAN:
+            for waiter in self.keys.never_ran(r.token, r.id):
+                self.post(Joined(waiter, m.result))
+        elif r.token is not None:
             size = len(m.result.body) + m.result.detail_bytes + RESULT_OVERHEAD
             for waiter in self.keys.ended(r.token, r.id, m.result, size):
                 self.post(Joined(waiter, m.result))
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -7,6 +7,8 @@
 from ochrehoist.interface import Outcome
 
 KeyId = tuple[int | None, int, str]  # tenant, class and the caller's token: one filing
+# Digests of what one filing says: of its target, where the wire has one, and of its body.
+Fingerprint = tuple[bytes | None, bytes]
 
 
 class Reason(Enum):
@@ -76,7 +78,7 @@
     tenant: int | None = None
     key: str | None = None
     token: KeyId | None = None
-    fingerprint: bytes | None = None  # of the content, where the front can tell one filing from another
+    fingerprint: Fingerprint | None = None
     work: int | None = None
     memory_kb: float = 0.0
     rank: float = 0.0
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -21,6 +21,7 @@
 from ochrehoist.net.stream import Closed, Stream, TimedOut
 
 S = 1_000_000_000
+WHOLE = 2.5  # s for a packet that was begun, and for the first of a new connection
 
 
 class Rejected(Exception):
@@ -88,7 +89,8 @@
             id=f"ajp-{next(self.ids)}", kind=kind, arrived=arrived, payload=AjpPayload(f, body),
             responder=responder, executor=self.executor, tenant=tenant,
             token=(tenant, kind, token) if token else None,
-            fingerprint=sha256(f"{f.method} ".encode() + f.uri + b"\0" + body).digest() if token else None,
+            fingerprint=(sha256(f"{f.method} ".encode() + f.uri).digest(), sha256(body).digest())
+            if token else None,
             memory_kb=self.config.memory_kb + (len(f.packet) + len(body)) / 1024, rank=0.5,
             retry=retry not in (b"", b"0"), write=cls.repeat is not Repeat.SAFE)
 
@@ -141,6 +143,7 @@
 
     def __init__(self, front: "AjpFront", stream: Stream) -> None:
         self.front, self.stream, self.in_hand = front, stream, False
+        self.used_at, self.known = time.monotonic(), False  # known: it has sent a packet
         self.body_bytes = 0  # read or promised, of the request in hand
         stream.on_close = lambda: front.closed(self)
 
@@ -149,11 +152,15 @@
         try:
             while not self.stream.closing:
                 config = self.front.config  # as it is now: it may be read again
-                # Only the wait for the first byte may be long: a packet begun must come whole.
+                # Only the wait for the first byte may be long, and not that of a new connection: the silent
+                # and the half-sent must not keep descriptors.
+                until = time.monotonic() + WHOLE
                 if not self.stream.buffer:
-                    self.stream.fill(config.idle_s)
+                    self.stream.fill(config.idle_s if self.known else min(config.idle_s, WHOLE))
                 arrived = time.time_ns()
-                packet = read_packet(self.stream, ajp.TO_CONTAINER, size, config.body_s)
+                left = time.monotonic() + WHOLE if self.known else until
+                packet = read_packet(self.stream, ajp.TO_CONTAINER, size, left - time.monotonic())
+                self.known = True
                 kind = packet[0] if packet else 0
                 if kind == ajp.CPING:
                     if not self.front.owner.healthy:
@@ -163,6 +170,7 @@
                     self.in_hand = True
                     self._forward(ajp.forward(packet), arrived)
                     self.in_hand, self.body_bytes = False, 0
+                    self.used_at = time.monotonic()
                 elif kind not in (ajp.SHUTDOWN, ajp.PING):  # asked by nobody who may: passed over
                     raise ajp.BadPacket(f"an unexpected packet {kind}")
         except (Closed, TimedOut):
@@ -257,7 +265,7 @@
         self.reader = AjpReader(owner, executor, config)
         self.connections: set[AjpConnection] = set()
         self.draining = False
-        self.listening = Listening(loop, config.listen, self._accepted, max_connections, log)
+        self.listening = Listening(loop, config.listen, self._accepted, max_connections, log, self._make_room)
 
     def configure(self, config: AjpConfig) -> None:
         self.config = config
@@ -270,6 +278,13 @@
         self.connections.add(connection)
         return connection.run
 
+    def _make_room(self) -> bool:
+        """Closes the connection that has been idle longest: the silent must not shut out the others."""
+        idle = [c for c in self.connections if not c.in_hand and not c.stream.buffer]
+        if idle:
+            min(idle, key=lambda c: (c.known, c.used_at)).stream.close()
+        return bool(idle)
+
     def closed(self, connection: AjpConnection) -> None:
         self.connections.discard(connection)
         self.listening.closed()
--- a/ochrehoist/net/kernel.py
+++ b/ochrehoist/net/kernel.py
@@ -120,9 +120,10 @@
                         if command == "REAP":
                             self._reaped(m)
                 elif command == "EINVAL":
-                    self.log.error("the kernel did not carry out a command", command=m.get("result"),
-                                   id=m.get("req"))
-                    self._over(m.get("req"), Result(Outcome.FAILED), 0)
+                    # A request that it was never told of: some client's invention, and nothing was begun.
+                    self.log.warning("the kernel did not carry out a command", command=m.get("result"),
+                                     id=m.get("req"))
+                    self._over(m.get("req"), Result(Outcome.MOOT), 0)
                 else:
                     self.log.warning("unknown notice", command=command)
             except (ValueError, KeyError, TypeError) as error:
--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -11,10 +11,18 @@
 PAUSE = 0.05  # s without accepting when no descriptor is to be had
 
 
+def no_room() -> bool:
+    return False
+
+
 class Listening:
+    """`make_room` closes a connection that can be spared, where there is one, and says whether it did."""
+
     def __init__(self, loop: Loop, address: tuple[str, int] | str,
-                 accepted: Callable[[socket.socket], Callable[[], None]], limit: int, log: Any) -> None:
+                 accepted: Callable[[socket.socket], Callable[[], None]], limit: int, log: Any,
+                 make_room: Callable[[], bool] = no_room) -> None:
         self.loop, self.accepted, self.limit, self.log = loop, accepted, limit, log
+        self.make_room, self.retrying = make_room, False
         self.sock = listen(address)
         self.count, self.stopped = 0, False
         self._resume()
@@ -45,7 +53,19 @@
                 continue  # the peer left before it was accepted
             self.count += 1
             self.loop.spawn(self.accepted(sock))
-        self.loop.on_readable(self.sock.fileno(), None)  # at the limit: the rest wait to be accepted
+            if self.full():
+                self.make_room()
+        # At the limit, with none to spare: the rest wait to be accepted until one closes or falls idle.
+        self.loop.on_readable(self.sock.fileno(), None)
+        if not self.retrying:
+            self.retrying = True
+            self.loop.call_later(PAUSE, self._retry)
+
+    def _retry(self) -> None:
+        self.retrying = False
+        if not self.stopped and self.full() and not self.make_room():
+            self.retrying = True
+            self.loop.call_later(PAUSE, self._retry)
 
     def closed(self) -> None:
         self.count -= 1
--- a/ochrehoist/net/stream.py
+++ b/ochrehoist/net/stream.py
@@ -74,20 +74,22 @@
         self.arrived.set()
 
     def take(self, count: int, timeout: float | None = None) -> bytes:
+        """So many bytes; the time is for all of them, or a peer could send one now and then for ever."""
+        until = None if timeout is None else time.monotonic() + timeout
         while len(self.buffer) < count:
-            self.fill(timeout)
+            self.fill(None if until is None else until - time.monotonic())
         data = bytes(self.buffer[:count])
         del self.buffer[:count]
         return data
 
     def take_line(self, limit: int, timeout: float | None = None) -> bytes:
         """A line without its end; one longer than the limit ends the connection."""
-        start = 0
+        start, until = 0, None if timeout is None else time.monotonic() + timeout
         while (at := self.buffer.find(b"\n", start)) < 0:
             start = len(self.buffer)
             if start > limit:
                 raise Closed
-            self.fill(timeout)
+            self.fill(None if until is None else until - time.monotonic())
         line = bytes(self.buffer[:at])
         del self.buffer[:at + 1]
         return line.rstrip(b"\r")
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from hashlib import sha256
 from typing import Any
 
 from ochrehoist.core.owner import Owner
@@ -13,13 +14,19 @@
 from ochrehoist.net import thrift
 from ochrehoist.net.listener import Listening
 from ochrehoist.net.loop import Loop
-from ochrehoist.net.stream import Closed, Stream
+from ochrehoist.net.stream import Closed, Stream, TimedOut
 
 MS = 1_000_000
 MAX_FRAME = 64 * 1024  # a body has 2 KiB at most, its fields far less
+MAX_BODY = 2048
 MAX_RESULT = 4096
 MAX_OPEN = 32  # requests open on one connection
-LINGER = 2.0  # s that a router has to close a connection after its farewell
+LINGER = 0.5  # s that a router has to close a connection after its farewell
+WHOLE = 2.5  # s for a frame that was begun, and for a new connection to get its first answer
+ONCE = 2.0  # s without a request after which a connection used once is taken for one that stays for nothing
+CROWDED = 0.125  # of the connections there is room for: from there on such are sent away
+UNKNOWN_RATE, UNKNOWN_BURST = 100, 100  # calls a second, and at once, read of one that was never served
+SMALLEST = 1e-9  # KB: a figure above 0
 HEX = frozenset("0123456789abcdefABCDEF")
 INVOKE, ABORT, PING = b"invoke", b"abort", b"ping"
 FAREWELL = thrift.message(thrift.ONEWAY, b"farewell", 0, thrift.END)
@@ -95,12 +102,16 @@
         token = f.text("token", required=keyed)
         if keyed and not token:
             raise thrift.BadArguments("field token: empty")
+        if len(body) > MAX_BODY:
+            raise thrift.BadArguments("body: too long")
         est = f.number("est", 0.0, 1e9, required=False)
         return Inbound(
             id=rid, kind=kind, arrived=f.whole("t0") * MS, payload=Payload(method, body), responder=responder,
             executor=self.executor, tenant=tenant, key=f.text("obj", required=False),
-            token=(tenant, kind, token) if keyed else None, work=int(est * MS) if est else None,
-            memory_kb=f.number("mem", 0.0, 2000.0), rank=f.number("prio", 0.0, 1.0, required=False) or 0.0,
+            token=(tenant, kind, token) if keyed else None,
+            fingerprint=(None, sha256(body).digest()) if keyed else None, work=int(est * MS) if est else None,
+            memory_kb=f.number("mem", SMALLEST, 2000.0),
+            rank=f.number("prio", 0.0, 1.0, required=False) or 0.0,
             retry=f.text("again", required=False) == "1",
             write=self.settings.classes[kind].repeat is not Repeat.SAFE,
             caller=f.whole("peer", required=False) or 0)
@@ -121,6 +132,7 @@
         if not result.success or len(result.body) > MAX_RESULT:
             # A run of another front made it: an error there, or more than this wire can carry.
             return self._reply(2, thrift.problem({b"reason": b"no result that this protocol can carry"}))
+        self.connection.served = True
         self._reply(0, thrift.answer(result.body, {}, True))
 
     def refused(self, backoff: int, no_retry: bool) -> None:
@@ -141,44 +153,61 @@
     def __init__(self, front: "ThriftFront", stream: Stream) -> None:
         self.front, self.stream = front, stream
         self.open: dict[int, str] = {}  # seqid -> request
-        self.used_at = time.monotonic()
+        self.opened = self.used_at = self.read_at = time.monotonic()
         self.farewelled: float | None = None
         self.checks_only = False
+        self.calls = 0  # requests read
+        self.answered = self.served = False  # once at least
+        self.budget = float(UNKNOWN_BURST)
         stream.on_close = lambda: front.closed(self)
 
     def run(self) -> None:
         try:
             while True:
-                size = int.from_bytes(self.stream.take(4), "big")
+                if not self.stream.buffer:
+                    self.stream.fill()  # the sweep ends what stays idle
+                # What was begun must come whole; a new connection has no more than its first moments for it.
+                until = (time.monotonic() if self.answered else self.opened) + WHOLE
+                size = int.from_bytes(self.stream.take(4, until - time.monotonic()), "big")
                 if size > MAX_FRAME:
                     raise thrift.BadFrame("frame too long")
-                self._frame(self.stream.take(size))
-        except Closed:
+                self._frame(self.stream.take(size, until - time.monotonic()))
+                if not self.served:
+                    self._hold_back()
+        except (Closed, TimedOut):
             pass
         except thrift.BadFrame as error:  # ends this connection only
-            self.front.log.warning("bad frame", why=str(error))
+            self.front.bad_frame(str(error))
         finally:
             self.stream.close()
 
+    def _hold_back(self) -> None:
+        """A flood from one that was never served must not take the processor from routers."""
+        now = time.monotonic()
+        self.budget = min(UNKNOWN_BURST, self.budget + (now - self.read_at) * UNKNOWN_RATE) - 1
+        self.read_at = now
+        if self.budget < 0:
+            self.front.loop.sleep(1 / UNKNOWN_RATE)
+
     def _frame(self, frame: bytes) -> None:
         m = thrift.parse(frame)
+        self.used_at = time.monotonic()
         if m.kind == thrift.CALL and m.method == INVOKE:
             self._invoke(m)
         elif m.kind == thrift.CALL and m.method == PING:
-            self.checks_only = not self.open
+            self.checks_only = not self.calls
             answer = thrift.answer(b"", {}, self.front.owner.healthy)
-            self.stream.write(thrift.reply(PING, m.seqid, 0, answer))
+            self._write(thrift.reply(PING, m.seqid, 0, answer))
         elif m.kind == thrift.ONEWAY and m.method == ABORT:
             for kind, number in m.args.fields():
                 if (kind, number) == (thrift.I32, 1):
                     gone = self.open.pop(m.args.i32(), None)
                     if gone is not None:
-                        self.used_at = time.monotonic()
                         self.front.owner.post(Gone(gone))
                 else:
                     m.args.skip(kind)
         elif m.kind == thrift.CALL:
-            self.stream.write(thrift.application_exception(
+            self._write(thrift.application_exception(
                 m.method, m.seqid, thrift.UNKNOWN_METHOD, "unknown method"))
         elif m.kind != thrift.ONEWAY:
             raise thrift.BadFrame("neither a call nor a oneway message")
@@ -195,22 +224,28 @@
                     m.args.skip(kind)
             if values is None:
                 raise thrift.BadArguments("fields: missing")
-            if m.seqid in self.open or len(self.open) >= MAX_OPEN:
-                raise thrift.BadArguments("sequence number in use, or too many requests open")
+            if m.seqid in self.open:  # nobody could tell whose answer the next one is
+                raise thrift.BadFrame("a sequence number in use")
+            if len(self.open) >= MAX_OPEN:
+                raise thrift.BadArguments("too many requests open")
             responder = ThriftResponder(self, m.seqid)
             request = self.front.reader.request(values, body, responder)
         except thrift.BadArguments as error:
-            self.stream.write(thrift.application_exception(
-                INVOKE, m.seqid, thrift.PROTOCOL_ERROR, str(error)))
+            self._write(thrift.application_exception(INVOKE, m.seqid, thrift.PROTOCOL_ERROR, str(error)))
             return
         self.checks_only = False
+        self.calls += 1
         self.open[m.seqid] = request.id
         self.front.owner.post(Arrived(request))
 
+    def _write(self, data: bytes) -> None:
+        self.answered = True
+        self.stream.write(data)
+
     def answer(self, seqid: int, data: bytes) -> None:
         if self.open.pop(seqid, None) is not None:
             self.used_at = time.monotonic()
-            self.stream.write(data)
+            self._write(data)
             if self.front.draining and not self.open:
                 self.farewell()
 
@@ -230,7 +265,8 @@
         self.connections: set[Connection] = set()
         self.draining = False
         self.idle: float = owner.settings.idle / 1e9
-        self.listening = Listening(loop, address, self._accepted, max_connections, log)
+        self.bad_frames, self.why, self.logged = 0, "", 0.0
+        self.listening = Listening(loop, address, self._accepted, max_connections, log, self._make_room)
         loop.call_later(0.1, self._sweep)
 
     def _accepted(self, sock: socket.socket) -> Callable[[], None]:
@@ -245,18 +281,45 @@
             self.owner.post(Gone(rid))
         connection.open.clear()
 
+    def bad_frame(self, why: str) -> None:
+        self.bad_frames, self.why = self.bad_frames + 1, why
+
+    def _make_room(self) -> bool:
+        """Closes the idle connection that is missed least: what crosses the close is sent once more.
+
+        First those that were told to go, then those that said nothing since they came, then those that were
+        never served, then what has been idle longest.
+        """
+        now = time.monotonic()
+
+        def missed(c: Connection) -> tuple[int, float]:
+            young = not c.answered and now - c.opened < 0.5
+            return (0 if c.farewelled else 3 if young else 1 if not c.answered else 2 if not c.served else 4,
+                    c.used_at)
+
+        idle = [c for c in self.connections if not c.open]
+        if idle:
+            min(idle, key=missed).stream.close()
+        return bool(idle)
+
     def _sweep(self) -> None:
         """Idle connections are ended by farewell, never by a close that a request could cross."""
         now = time.monotonic()
-        crowded = self.listening.full()
+        crowded = len(self.connections) > CROWDED * self.listening.limit
         for c in list(self.connections):
             if c.open or c.stream.closed:
                 continue
+            idle = now - c.used_at
             if c.farewelled is not None:
                 if now - max(c.farewelled, c.used_at) > LINGER:
                     c.stream.close_when_sent()
-            elif not c.checks_only and (now - c.used_at > self.idle > 0 or (crowded and now - c.used_at > 1)):
+            elif not c.answered and now - c.opened > WHOLE:
+                c.stream.close()  # nothing that could be answered came: nobody waits for anything here
+            elif not c.checks_only and (idle > self.idle > 0 or (crowded and c.calls <= 1 and idle > ONCE)):
                 c.farewell()
+        if self.bad_frames and now - self.logged > 1:  # one line for all: a flood must not fill the log
+            self.log.warning("bad frames", count=self.bad_frames, last=self.why)
+            self.bad_frames, self.logged = 0, now
         self.loop.call_later(0.05, self._sweep)
 
     # ---- what the core wants
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -132,6 +132,11 @@
     def next(self):
         return self.scheduled.get(timeout=PATIENCE)
 
+    def reject(self, rid):
+        """As for an id, class or body that it was never told of."""
+        with self.lock:
+            self._say(cmd="EINVAL", result="SCHED", req=rid)
+
     def reap(self, rid, end="OK", body=b"", say=True):
         with self.lock:
             self.notices.append({"cmd": "REAP", "offset": len(self.notices) + 1, "req": rid, "result": end,
--- /dev/null
+++ b/tests/test_bad_clients.py
@@ -0,0 +1,107 @@
+"""Clients that are no routers: each gets a refusal, an error or a close in time, and harms nobody."""
+
+import struct
+import time
+import unittest
+
+from stand_ins import Ajp, Program, Thrift
+
+DUE = 3.0  # s from connecting to a word or a close
+HEAD = struct.pack(">I", 500) + b"\x80\x01"
+
+
+def closes(connection):
+    """Waits for the end of a connection."""
+    try:
+        while connection.sock.recv(100):
+            pass
+    except ConnectionResetError:
+        pass
+    return True
+
+
+class Bad(unittest.TestCase):
+    def setUp(self):
+        self.program = Program(ajp=True, sockets=160)
+        self.addCleanup(self.program.close)
+        self.kernel = self.program.kernel
+
+    def served(self, router, body=b"doc", **fields):
+        seqid = router.invoke(body=body, **fields)
+        self.kernel.reap(self.kernel.next()[0], body=b"served")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"served"))
+
+    def test_the_silent_the_half_sent_and_those_that_take_all_back_are_closed_in_time(self):
+        router, began = self.program.thrift(), time.monotonic()
+        self.served(router)
+        self.served(router)  # one that asked once would be taken for one that stays for nothing
+        bad = [self.program.thrift() for _ in range(5)]
+        bad[1].sock.sendall(HEAD)
+        bad[2].abort(7)
+        bad[3].sock.sendall(HEAD[:2])
+        bad[4].abort(bad[4].invoke("filing", token="back"))
+        self.kernel.reap(self.kernel.next()[0])  # begun before it was taken back
+        web = [self.program.ajp() for _ in range(2)]
+        web[1].sock.sendall(b"\x12\x34\0\x50\2")
+        for connection in bad + web:
+            self.assertTrue(closes(connection))
+        self.assertLess(time.monotonic() - began, DUE)
+        self.served(router)
+
+    def test_the_silent_do_not_shut_out_routers_of_either_wire(self):
+        at, web_at = self.program.at["ThriftFront"], self.program.at["AjpFront"]
+        silent = [(Thrift(at), Ajp(web_at)) for _ in range(160)]
+        router, web = Thrift(at), Ajp(web_at)
+        self.served(router)
+        web.request()
+        self.program.server.next()[2](data=b"served")
+        self.assertEqual(web.answer()[2], b"served")
+        del silent
+
+    def test_one_that_was_never_served_is_read_slowly(self):
+        flood, began = self.program.thrift(), time.monotonic()
+        numbers = [flood.send("fly", b"\0") for _ in range(200)]
+        self.assertEqual({flood.answer(n)[0] for n in numbers}, {"Exception"})
+        self.assertGreater(time.monotonic() - began, 0.9)  # a hundred at once, then a hundred a second
+
+    def test_a_key_with_another_body_is_never_served(self):
+        router, bad = self.program.thrift(), self.program.thrift()
+        open_ = router.invoke("filing", b"doc", token="key")
+        rid = self.kernel.next()[0]
+        self.assertEqual(bad.call("filing", b"other", token="key")[0], "Broken")
+        self.kernel.reap(rid, body=b"filed")
+        self.assertEqual(router.answer(open_)[2], b"filed")
+        self.assertEqual(bad.call("filing", b"other", token="key")[0], "Broken")
+        web = self.program.ajp()
+        self.assertEqual(web.call("POST", "/filings", {"Idempotency-Key": "key", "X-Tenant": "acme"},
+                                  b"other")[0], 422)
+        self.assertEqual(bad.call("filing", b"doc", token="key")[2], b"filed")
+
+    def test_a_number_in_use_ends_its_connection_and_frees_what_it_held(self):
+        bad, router = self.program.thrift(), self.program.thrift()
+        bad.invoke()
+        rid = self.kernel.next()[0]
+        bad.seqid -= 1
+        bad.invoke()
+        self.assertTrue(closes(bad))
+        self.kernel.reap(rid)
+        self.served(router)
+
+    def test_a_filing_that_the_kernel_was_never_told_of_leaves_its_key_free(self):
+        bad, router = self.program.thrift(), self.program.thrift()
+        seqid = bad.invoke("filing", b"invented", token="key")
+        self.kernel.reject(self.kernel.next()[0])
+        self.assertEqual(bad.answer(seqid)[0], "Broken")
+        self.served(router, method="filing", token="key")
+
+    def test_figures_out_of_range(self):
+        bad, router = self.program.thrift(), self.program.thrift()
+        for fields in ({"mem": "0"}, {"mem": "2000"}, {"mem": "-1"}, {"est": "inf"}, {"body": b"x" * 2049}):
+            self.assertEqual(bad.call(**fields)[0], "Exception")
+        self.assertEqual(bad.call(t0="1")[0], "Broken")  # its caller gave up long ago
+        self.assertEqual(self.program.said("answered by the backstop"), [])  # the module never heard of it
+        self.served(router)
+
+
+if __name__ == "__main__":
+    unittest.main()
