--- a/ochrehoist/rules.py
+++ b/ochrehoist/rules.py
@@ -306,7 +306,8 @@
         if j is None:
             return
         if e.outcome in NEVER_RAN:  # nothing is learned of it, and a later try may run
-            return self._never_ran(j)
+            j.ran = False
+            return self._drop(j)
         if j.state == CORE:
             if e.outcome is Outcome.OK and not self.stalled:
                 self.curve.done[min(self.cores, self.curve.crowd + 1)] += self._warmth() >= 1
@@ -320,14 +321,6 @@
         j.answered = True
         self._end(j)
 
-    def _never_ran(self, j):
-        j.ran = False
-        for at in j.counts:
-            self.asked[at] = max(0.1, self.asked[at] - (not j.r.retry))
-        if j.r.tenant is not None:
-            self.ran[j.r.tenant] = max(0.0, self.ran[j.r.tenant] - 1 / MEMORY_S)
-        self._drop(j)
-
     def _move(self, j, state):
         self.cores += (state == CORE) - (j.state == CORE)
         self.out += (state == OUT) - (j.state == OUT)
