--- a/ochrehoist/net/members.py
+++ b/ochrehoist/net/members.py
@@ -1,16 +1,22 @@
-"""Reports to the membership service: often enough that an entry never lapses; an outage holds up nothing."""
+"""Reports to the membership service: often enough that an entry never lapses; an outage holds up nothing.
+
+A report counts once it has come whole, answered or not. So its age is counted from when it was written, and
+an answer that stays out is no reason to report more often: the next goes out when it is due, on a new link.
+"""
 
 import json
+import time
 from typing import Any
 
 from ochrehoist.core.owner import Owner
 from ochrehoist.net.loop import Loop, Signal
-from ochrehoist.net.stream import Closed, Stream, TimedOut, connect
+from ochrehoist.net.stream import Closed, Stream, connect
 
-EVERY = 0.8  # s between reports; an entry lapses after 3
+EVERY = 0.8  # s from one report to the next; an entry lapses after 3
 RETRY = 0.2  # s between tries while the service is out of reach
-PATIENCE = 0.7  # s for a connection, and for an answer
-MAX_LINE = 8192
+CONNECT = 0.4  # s for a connection
+UNANSWERED = 5  # reports in a row without an answer that are worth a line in the log
+MAX_ANSWER = 8192
 
 
 class Members:
@@ -18,48 +24,83 @@
 
     def __init__(self, loop: Loop, owner: Owner, address: tuple[str, int], name: str, log: Any) -> None:
         self.loop, self.owner, self.address, self.name, self.log = loop, owner, address, name, log
-        self.changed = Signal(loop)
+        self.changed = Signal(loop)  # of health or address, and whenever an answer comes
         self.stream: Stream | None = None
         self.reachable: bool | None = None
+        self.unanswered = 0
 
     def run(self) -> None:
         while True:
+            address, phase, pause, written = self.address, self._phase(), RETRY, time.monotonic()
             try:
-                status = self._report("UP" if self.owner.healthy else "OUT")
-                good, why = status == 204, f"status {status}"
-            except (OSError, Closed, TimedOut, ValueError, IndexError) as error:
-                good, why = False, repr(error)
-            if not good and self.stream is not None:
-                self.stream.close()
-                self.stream = None
-            if good is not self.reachable:
+                stream = self._connection()
+                written = time.monotonic()
+                stream.write(self._report(phase))
+                status = self._answer(stream, phase, written + EVERY)
+                self.unanswered = self.unanswered + 1 if status is None else 0
+                good, why = status == 204 or (status is None and self.unanswered < UNANSWERED), status
+                pause = EVERY
+            except (OSError, Closed, ValueError, IndexError) as error:
+                status, good, why = 0, False, repr(error)
+            if status != 204:
+                self._close()
+            if address == self.address and good is not self.reachable:
                 self.reachable = good
                 self.log.info("membership reports", accepted=good, **({} if good else {"why": why}))
-            self.changed.wait(EVERY if good else RETRY)
+            while address == self.address and phase == self._phase() \
+                    and (left := written + pause - time.monotonic()) > 0:
+                self.changed.wait(left)
+
+    def _phase(self) -> str:
+        return "UP" if self.owner.healthy else "OUT"
+
+    def _close(self) -> None:
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
 
-    def _report(self, phase: str) -> int:
+    def _connection(self) -> Stream:
         if self.stream is None or self.stream.ended:
-            if self.stream is not None:
-                self.stream.close()
-            self.stream = connect(self.loop, self.address, PATIENCE)
+            self._close()
+            self.stream = connect(self.loop, self.address, CONNECT)
+            self.stream.arrived = self.changed  # one wait for an answer and for a change
+        return self.stream
+
+    def _report(self, phase: str) -> bytes:
         body = json.dumps({"phase": phase}, separators=(",", ":")).encode()
         host = f"{self.address[0]}:{self.address[1]}"
-        head = (f"PUT /members/{self.name} HTTP/1.1\r\nHost: {host}\r\n"
-                f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n")
-        self.stream.write(head.encode() + body)
-        status = int(self.stream.take_line(MAX_LINE, PATIENCE).split(b" ")[1])
-        length, keep = 0, True
-        while line := self.stream.take_line(MAX_LINE, PATIENCE):
+        return (f"PUT /members/{self.name} HTTP/1.1\r\nHost: {host}\r\n"
+                f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body
+
+    def _answer(self, stream: Stream, phase: str, until: float) -> int | None:
+        """The status; None where it is not here by the time that the next report is due or has changed."""
+        while (status := self._status(stream)) is None:
+            if stream.ended or len(stream.buffer) > MAX_ANSWER:
+                raise Closed
+            if time.monotonic() >= until or phase != self._phase():
+                break
+            stream.watch(lambda: time.monotonic() >= until or phase != self._phase(),
+                         until - time.monotonic())
+        return status
+
+    def _status(self, stream: Stream) -> int | None:
+        """Takes one whole answer out of what has come, if there is one."""
+        head, end, _ = stream.buffer.partition(b"\r\n\r\n")
+        if not end:
+            return None
+        lines, length, keep = bytes(head).split(b"\r\n"), 0, True
+        for line in lines[1:]:
             name, _, value = line.lower().partition(b":")
             if name == b"content-length":
-                length = min(int(value), MAX_LINE)
+                length = max(0, int(value))
             elif name == b"connection" and value.strip() == b"close":
                 keep = False
-        self.stream.take(length, PATIENCE)
+        if len(stream.buffer) < len(head) + len(end) + length:
+            return None
+        del stream.buffer[:len(head) + len(end) + length]
         if not keep:
-            self.stream.close()
-            self.stream = None
-        return status
+            self._close()
+        return int(lines[0].split(b" ")[1])
 
     def move(self, address: tuple[str, int]) -> None:
         """The service is reached at another address from now on: it is reported to at once."""
--- a/ochrehoist/net/stream.py
+++ b/ochrehoist/net/stream.py
@@ -47,12 +47,12 @@
                     and until is not None and time.monotonic() >= until:
                 raise TimedOut
 
-    def watch(self, done: Callable[[], bool]) -> None:
-        """Waits until done() holds (checked at each `arrived`), more bytes come or the peer leaves."""
+    def watch(self, done: Callable[[], bool], timeout: float | None = None) -> None:
+        """Waits until done() holds (checked at each `arrived`, and as time is up), more comes or it ends."""
         had = len(self.buffer)
         while not done() and not self.ended and len(self.buffer) == had:
             self._want_input()
-            self.arrived.wait()
+            self.arrived.wait(timeout)
 
     def _want_input(self) -> None:
         if not self.wants_input and not self.ended:
--- a/tests/test_thrift_front.py
+++ b/tests/test_thrift_front.py
@@ -1,5 +1,6 @@
 """The real program on the platform's wire: routers, kernel and membership service are stand-ins."""
 
+import json
 import signal
 import socket
 import struct
@@ -149,6 +150,53 @@
         self.assertEqual(router.answer(filing), ("Answer", {}, b"filed"))
         router.abort(read)
 
+    def test_a_filing_lost_with_the_link_is_found_and_runs(self):
+        router = self.program.thrift()
+        seqid = router.invoke("filing", b"doc", token="t")
+        run = self.kernel.next()
+        self.kernel.runnable = 0.0  # nothing runs: the command never came
+        self.kernel.drop_links()
+        self.assertEqual(self.kernel.next(), run)
+        self.kernel.reap(run[0], body=b"filed")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"filed"))
+
+    def test_what_was_given_long_before_a_break_is_not_given_again(self):
+        router = self.program.thrift()
+        read, filing = router.invoke(body=b"read"), router.invoke("filing", b"doc", token="t")
+        runs = {body: rid for rid, _, body in (self.kernel.next(), self.kernel.next())}
+        self.kernel.runnable = 0.0  # as if it did not run: it is known to all the same
+        self.kernel.wait_for_questions(4)
+        self.kernel.drop_links()
+        self.kernel.wait_for_questions(3)
+        self.assertTrue(self.kernel.scheduled.empty())
+        self.assertEqual([line["doubtful"] for line in self.program.said("kernel link lost")], [0])
+        for body, seqid in ((b"read", read), (b"doc", filing)):
+            self.kernel.reap(runs[body], body=body)
+            self.assertEqual(router.answer(seqid)[2], body)
+
+    def test_cut_repeated_missed_and_unreadable_notices_and_remarks_lose_no_run(self):
+        router = self.program.thrift()
+        for number, damage in enumerate(("cut", "repeated", "missed", "unreadable", "pieces")):
+            with self.subTest(damage):
+                seqid = router.invoke("filing", b"doc", token=damage)
+                self.kernel.notice(cmd="DMESG", result="\u20ac a remark")
+                self.kernel.reap(self.kernel.next()[0], body=b"%d" % number, say=False)
+                line = json.dumps(self.kernel.notices[-1]).encode() + b"\n"
+                if damage == "cut":
+                    self.kernel.say_raw(line[:len(line) // 2])
+                    self.kernel.drop_links()
+                elif damage == "repeated":
+                    self.kernel.say_raw(line * 3)
+                elif damage == "missed":
+                    self.kernel.notice(cmd="DMESG", result="its offset is one too far")
+                elif damage == "unreadable":
+                    self.kernel.say_raw(b"{]\n")
+                else:
+                    for byte in line:
+                        self.kernel.say_raw(bytes((byte,)))
+                self.assertEqual(router.answer(seqid), ("Answer", {}, b"%d" % number))
+        self.assertTrue(self.kernel.scheduled.empty())
+
     def test_what_starts_without_a_link_is_scheduled_once_there_is_one(self):
         router = self.program.thrift()
         self.kernel.refuse()
@@ -240,6 +288,22 @@
         self.program.members.wait_for("UP")
 
 
+class MembersSilence(Case):
+    def test_reports_without_an_answer_go_on_at_their_pace_and_a_change_does_not_wait_for_one(self):
+        members = self.program.members
+        members.wait_for("UP")
+        members.answers, began = False, time.monotonic()
+        for _ in range(4):
+            members.wait_for("UP")
+        self.assertGreater(time.monotonic() - began, 4 * 0.8 - 0.9)
+        self.assertLess(time.monotonic() - began, 4 * 0.8 + 2)
+        began = time.monotonic()
+        self.program.process.send_signal(signal.SIGTERM)
+        members.wait_for("OUT")
+        self.assertLess(time.monotonic() - began, 0.5)
+        self.assertEqual([line["accepted"] for line in self.program.said("membership reports")], [True])
+
+
 class KeepAlive(Case):
     how = {"site": settings(FamilyInfo=settings()["FamilyInfo"] | {"Callers": 10_000})}
 
