--- a/ochrehoist/rules.py
+++ b/ochrehoist/rules.py
@@ -255,15 +255,20 @@
     def _rank(self, starts):
         # The hold, dearest first. What cannot end in time behind the rest is told now, while its client can
         # go elsewhere. Empty servers always try: a mean time learned in trouble could keep work away.
-        ranked, run = [], S / self._rate()
-        for j in sorted(self.held.values(), key=lambda h: -self._value(h)):
-            wait = max(0, len(ranked) + 1 - starts) * run  # what starts now waits for none
-            took = self.took[j.r.kind].value * self._crowding(self.cores + len(ranked) + 1) / self._warmth()
-            need = wait + MARGIN * took if ranked or self.cores + self.out else 0
-            if self.stalled or self.now + need > min(j.aim, j.arrived + self._patience(j.r.caller)):
-                self._refuse(j)
-            else:
-                ranked.append(j)
+        # It is ranked at every event: by groups of like worth, since what is turned away should cost least.
+        ranked, run, warm, busy = [], S / self._rate(), self._warmth(), self.cores + self.out
+        groups = {}
+        for j in self.held.values():
+            groups.setdefault((j.r.kind, j.r.tenant, self.s.worth_by_work or j.r.work), []).append(j)
+        for group in sorted(groups.values(), key=lambda g: -self._value(g[0])):
+            took = MARGIN * self.took[group[0].r.kind].value / warm
+            for j in group:
+                wait = max(0, len(ranked) + 1 - starts) * run  # what starts now waits for none
+                need = wait + took * self._crowding(self.cores + len(ranked) + 1) if ranked or busy else 0
+                if self.stalled or self.now + need > j.aim or need + self.now - j.arrived > self._patience(j):
+                    self._refuse(j)
+                else:
+                    ranked.append(j)
         return ranked
 
     # Callers give up after a time of their own that no request tells, often the same for all they send. What
@@ -274,9 +279,9 @@
         if len(ages) > LEFT // 4:
             self.patience[j.r.caller] = sorted(ages)[len(ages) * 3 // 4], self.now + HEARD_S * S
 
-    def _patience(self, caller):
-        lasts, until = self.patience.get(caller, (0, 0))
-        return lasts if self.now < until else 1 << 62
+    def _patience(self, j):
+        lasts, until = self.patience.get(j.r.caller, (0, 0))
+        return lasts if self.now < until else j.kind.deadline
 
     # ---- starting
     def _fill(self):
