--- a/ochrehoist/net/agent.py
+++ b/ochrehoist/net/agent.py
@@ -51,10 +51,11 @@
     def serve(self, stream: Stream) -> None:
         keep = True
         while keep:
+            until = time.monotonic() + PATIENCE  # for the whole question, however many lines it has
             method, _, rest = stream.take_line(MAX_LINE, PATIENCE).partition(b" ")
             keep = rest.endswith(b"HTTP/1.1")
             for _ in range(MAX_LINES):
-                line = stream.take_line(MAX_LINE, PATIENCE).lower()
+                line = stream.take_line(MAX_LINE, until - time.monotonic()).lower()
                 if not line:
                     break
                 keep = keep and not (line.startswith(b"connection:") and b"close" in line)
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -16,7 +16,7 @@
 from ochrehoist.interface import Outcome, Repeat
 from ochrehoist.net import ajp
 from ochrehoist.net.ajp_server import AjpPayload, read_packet
-from ochrehoist.net.listener import Listening
+from ochrehoist.net.listener import Listening, Pace
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import Closed, Stream, TimedOut
 
@@ -113,6 +113,7 @@
         self._respond(ajp.headers(status.value, status.phrase, values), text)
 
     def served(self, result: Result) -> None:
+        self.connection.served = True
         if isinstance(result.detail, ajp.Reply):
             return self._respond(result.detail.headers, result.body)
         # The result of a filing that ran for another front: its bytes, as they are.
@@ -144,6 +145,7 @@
     def __init__(self, front: "AjpFront", stream: Stream) -> None:
         self.front, self.stream, self.in_hand = front, stream, False
         self.used_at, self.known = time.monotonic(), False  # known: it has sent a packet
+        self.served, self.pace = False, Pace(front.loop)
         self.body_bytes = 0  # read or promised, of the request in hand
         stream.on_close = lambda: front.closed(self)
 
@@ -161,6 +163,8 @@
                 left = time.monotonic() + WHOLE if self.known else until
                 packet = read_packet(self.stream, ajp.TO_CONTAINER, size, left - time.monotonic())
                 self.known = True
+                if not self.served:
+                    self.pace.keep()
                 kind = packet[0] if packet else 0
                 if kind == ajp.CPING:
                     if not self.front.owner.healthy:
--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +12,23 @@
 PAUSE = 0.05  # s without accepting when no descriptor is to be had
 
 
+class Pace:
+    """How fast a connection is read that was never served: no flood may take the processor from others."""
+
+    rate, burst = 100.0, 100.0  # requests a second, and at once
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop, self.left, self.at = loop, self.burst, time.monotonic()
+
+    def keep(self) -> None:
+        """Called after each request; waits where they come too fast."""
+        now = time.monotonic()
+        self.left = min(self.burst, self.left + (now - self.at) * self.rate) - 1
+        self.at = now
+        if self.left < 0:
+            self.loop.sleep(1 / self.rate)
+
+
 def no_room() -> bool:
     return False
 
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -12,7 +12,7 @@
 from ochrehoist.core.requests import Arrived, Executor, Gone, Inbound, Reason, Result
 from ochrehoist.interface import Repeat, Settings
 from ochrehoist.net import thrift
-from ochrehoist.net.listener import Listening
+from ochrehoist.net.listener import Listening, Pace
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import Closed, Stream, TimedOut
 
@@ -25,7 +25,6 @@
 WHOLE = 2.5  # s for a frame that was begun, and for a new connection to get its first answer
 ONCE = 2.0  # s without a request after which a connection used once is taken for one that stays for nothing
 CROWDED = 0.125  # of the connections there is room for: from there on such are sent away
-UNKNOWN_RATE, UNKNOWN_BURST = 100, 100  # calls a second, and at once, read of one that was never served
 SMALLEST = 1e-9  # KB: a figure above 0
 HEX = frozenset("0123456789abcdefABCDEF")
 INVOKE, ABORT, PING = b"invoke", b"abort", b"ping"
@@ -153,12 +152,12 @@
     def __init__(self, front: "ThriftFront", stream: Stream) -> None:
         self.front, self.stream = front, stream
         self.open: dict[int, str] = {}  # seqid -> request
-        self.opened = self.used_at = self.read_at = time.monotonic()
+        self.opened = self.used_at = time.monotonic()
         self.farewelled: float | None = None
         self.checks_only = False
         self.calls = 0  # requests read
         self.answered = self.served = False  # once at least
-        self.budget = float(UNKNOWN_BURST)
+        self.pace = Pace(front.loop)
         stream.on_close = lambda: front.closed(self)
 
     def run(self) -> None:
@@ -173,7 +172,7 @@
                     raise thrift.BadFrame("frame too long")
                 self._frame(self.stream.take(size, until - time.monotonic()))
                 if not self.served:
-                    self._hold_back()
+                    self.pace.keep()
         except (Closed, TimedOut):
             pass
         except thrift.BadFrame as error:  # ends this connection only
@@ -181,14 +180,6 @@
         finally:
             self.stream.close()
 
-    def _hold_back(self) -> None:
-        """A flood from one that was never served must not take the processor from routers."""
-        now = time.monotonic()
-        self.budget = min(UNKNOWN_BURST, self.budget + (now - self.read_at) * UNKNOWN_RATE) - 1
-        self.read_at = now
-        if self.budget < 0:
-            self.front.loop.sleep(1 / UNKNOWN_RATE)
-
     def _frame(self, frame: bytes) -> None:
         m = thrift.parse(frame)
         self.used_at = time.monotonic()
--- a/tests/test_ajp_front.py
+++ b/tests/test_ajp_front.py
@@ -198,6 +198,17 @@
         self.assertTrue(self.server.got.empty())
 
 
+class FilingsUnreached(AjpCase):
+    def test_a_filing_that_reached_no_server_may_run_when_it_is_repeated(self):
+        web, filing = self.program.ajp(), ("POST", "/filings", {"Idempotency-Key": "k"}, b"doc")
+        self.server.refuse()
+        self.assertEqual(web.call(*filing)[0], 502)
+        self.server.come_back()
+        web.request(*filing)
+        self.server.next()[2](data=b"filed")
+        self.assertEqual(web.answer()[::2], (200, b"filed"))
+
+
 class Memory(AjpCase):
     how = AjpCase.how | {"max_body": 6 << 20, "max_response": 1000}
 
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -62,7 +62,10 @@
         flood, began = self.program.thrift(), time.monotonic()
         numbers = [flood.send("fly", b"\0") for _ in range(200)]
         self.assertEqual({flood.answer(n)[0] for n in numbers}, {"Exception"})
-        self.assertGreater(time.monotonic() - began, 0.9)  # a hundred at once, then a hundred a second
+        web, asked = self.program.ajp(), time.monotonic()
+        self.assertEqual({web.call(uri="/nowhere")[0] for _ in range(200)}, {404})
+        for start in (began, asked):
+            self.assertGreater(time.monotonic() - start, 0.9)  # a hundred at once, then a hundred a second
 
     def test_a_key_with_another_body_is_never_served(self):
         router, bad = self.program.thrift(), self.program.thrift()
