Keep what is half sent small: frames of 16 KB, reads of 16 KB, results 15% of the memory

Seen: limits go down to 32 MB, and a probe of 300 connections that each half sent a frame of 60 KB took the worker from 27.9 to 47.5 MB resident: frames up to 64 KB were waited for, though no request is over a few KB, and each read took up to 64 KB more. Results of filings could fill a quarter of the memory on top. Test: lengths that no request has end the connection before more is read.

--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -23,7 +23,7 @@
 from ochrehoist.settings import BadInput
 
 MS = 1_000_000
-RESULT_SHARE = 0.25  # of the process memory, for the results of filings
+RESULT_SHARE = 0.15  # of the process memory, for the results of filings
 BODY_SHARE = 0.12  # of it, for AJP bodies coming in, for responses being read, and for those not yet sent
 RESERVED = 24  # descriptors for all that is no accepted connection
 CONSOLE = 3 * Service.max_open + 3  # and for the console and the checks, where they are on
--- a/ochrehoist/net/stream.py
+++ b/ochrehoist/net/stream.py
@@ -8,7 +8,7 @@
 
 from ochrehoist.net.loop import Loop, Signal
 
-READ = 65536
+READ = 16384  # at once: what hundreds of connections have read and not yet used must fit in memory
 MAX_UNSENT = 512 * 1024  # a peer that reads so slowly is cut off: it must not cost memory
 
 
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -17,7 +17,7 @@
 from ochrehoist.net.stream import Closed, Stream, TimedOut
 
 MS = 1_000_000
-MAX_FRAME = 64 * 1024  # a body has 2 KiB at most, its fields far less
+MAX_FRAME = 16 * 1024  # a body has 2 KiB at most, its fields far less; hundreds may be half sent at once
 MAX_BODY = 2048
 MAX_RESULT = 4096
 MAX_OPEN = 32  # requests open on one connection
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -80,6 +80,14 @@
                                   b"other")[0], 422)
         self.assertEqual(bad.call("filing", b"doc", token="key")[2], b"filed")
 
+    def test_a_length_that_no_request_has_ends_its_connection_before_more_is_read(self):
+        began = time.monotonic()
+        for length in (20_000, 60_000_000, 1 << 31):
+            bad = self.program.thrift()
+            bad.sock.sendall(struct.pack(">I", length) + HEAD)
+            self.assertTrue(closes(bad))
+        self.assertLess(time.monotonic() - began, 1.0)
+
     def test_a_number_in_use_ends_its_connection_and_frees_what_it_held(self):
         bad, router = self.program.thrift(), self.program.thrift()
         bad.invoke()
