--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -283,8 +283,11 @@
         return connection.run
 
     def _make_room(self) -> bool:
-        """Closes the connection that has been idle longest: the silent must not shut out the others."""
-        idle = [c for c in self.connections if not c.in_hand and not c.stream.buffer]
+        """Closes the connection that has been idle longest: the silent must not shut out the others.
+
+        Nor may those that sent a part of a first packet; of one that is known, what has come is a request.
+        """
+        idle = [c for c in self.connections if not c.in_hand and not (c.known and c.stream.buffer)]
         if idle:
             min(idle, key=lambda c: (c.known, c.used_at)).stream.close()
         return bool(idle)
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -48,15 +48,19 @@
         self.assertLess(time.monotonic() - began, DUE)
         self.served(router)
 
-    def test_the_silent_do_not_shut_out_routers_of_either_wire(self):
+    def test_the_silent_and_half_sent_do_not_shut_out_routers_of_either_wire(self):
         at, web_at = self.program.at["ThriftFront"], self.program.at["AjpFront"]
-        silent = [(Thrift(at), Ajp(web_at)) for _ in range(160)]
+        crowd = [(Thrift(at), Ajp(web_at)) for _ in range(160)]
+        for _ in range(160):
+            crowd.append((Thrift(at), Ajp(web_at)))
+            for bad, part in zip(crowd[-1], (HEAD[:2], b"\x12\x34"), strict=True):
+                bad.sock.sendall(part)
         router, web = Thrift(at), Ajp(web_at)
         self.served(router)
         web.request()
         self.program.server.next()[2](data=b"served")
         self.assertEqual(web.answer()[2], b"served")
-        del silent
+        del crowd
 
     def test_one_that_was_never_served_is_read_slowly(self):
         flood, began = self.program.thrift(), time.monotonic()
