Add the operators' HTTP address with figures, standby and active: the drain rule is kept

The console's line protocol, its Unix path and console.health gave way to it. Requests now carry their class and tenant by name; positions in the settings are only in the module's events. `drain` as a command is gone: SIGTERM.

--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -1,24 +1,27 @@
 """The command line, and how the parts of one worker are put together."""
 
 import argparse
+import json
 import signal
 import sys
 import time
 from collections.abc import Callable
+from http import HTTPStatus
 
 from ochrehoist import config as configuration
 from ochrehoist.config import Config
+from ochrehoist.core.figures import CONTENT_TYPE
 from ochrehoist.core.owner import Owner
-from ochrehoist.core.requests import Booted, Leaving
+from ochrehoist.core.requests import Booted, Leaving, Standby
 from ochrehoist.logs import LogSink, start_log
 from ochrehoist.net import agent
-from ochrehoist.net.admin import Admin, ask
 from ochrehoist.net.ajp_front import AjpFront
 from ochrehoist.net.ajp_server import AjpServers
 from ochrehoist.net.kernel import Kernel
 from ochrehoist.net.listener import Service
 from ochrehoist.net.loop import Loop, Signal, steady_clock
 from ochrehoist.net.members import Members
+from ochrehoist.net.operators import Answer, Operators, ask, said
 from ochrehoist.net.thrift_front import ThriftFront
 from ochrehoist.settings import BadInput
 
@@ -26,8 +29,14 @@
 RESULT_SHARE = 0.15  # of the process memory, for the results of filings
 BODY_SHARE = 0.12  # of it, for AJP bodies coming in, for responses being read, and for those not yet sent
 RESERVED = 24  # descriptors for all that is no accepted connection
-CONSOLE = 3 * Service.max_open + 3  # and for the console and the checks, where they are on
+SERVICE = Service.max_open + 1  # and for the operators' address and the agent checks, each, where they are on
 QUIET = 0.05  # s without a request in hand before a drained worker ends
+CONSOLE = {  # the commands that call the running worker: how, and what for
+    "status": (("GET", "/status"), "ask the running worker how it is, and whether it is ready to serve"),
+    "metrics": (("GET", "/status/metrics"), "ask it for its figures"),
+    "standby": (("POST", "/standby"), "empty it: checks turn bad, what still comes is answered as ever"),
+    "active": (("POST", "/active"), "let it take clients again"),
+}
 END_EARLY = 0.1  # s before it would be killed; the core answers what is left a little earlier still
 
 
@@ -44,9 +53,7 @@
         self.fronts: list[ThriftFront | AjpFront] = []
         self.tasks = [owner.run]
         self.takers: list[Callable[[Config], None]] = []  # parts that take a configuration read again
-        room = config.sockets - RESERVED
-        if config.admin or config.agent or config.health:
-            room -= CONSOLE
+        room = config.sockets - RESERVED - SERVICE * sum(a is not None for a in (config.admin, config.agent))
         if config.ajp:
             body_bytes = int(config.memory_mb * 1e6 * BODY_SHARE)
             servers = AjpServers(loop, owner, config.ajp, body_bytes, self.log)
@@ -77,12 +84,11 @@
         self.listeners: list = list(self.fronts)
         if config.agent:
             self.listeners.append(agent.AgentCheck(loop, owner, config.agent, self.log))
-        if config.health:
-            self.listeners.append(agent.HttpHealth(loop, owner, config.health, self.log))
-        self.admin = None
         if config.admin:
-            self.admin = Admin(loop, config.admin, {"status": self.status, "drain": self.leave}, self.log)
-            self.listeners.append(self.admin)
+            self.listeners.append(Operators(loop, config.admin, {
+                "/status": {"GET": self.status}, "/status/metrics": {"GET": self.metrics},
+                "/standby": {"POST": lambda: self.standby(True)},
+                "/active": {"POST": lambda: self.standby(False)}}, self.log))
         self.started = time.monotonic()
         self.leaving_since: float | None = None
 
@@ -96,19 +102,28 @@
         for part in self.listeners:
             self.log.info("started", part=type(part).__name__, listen=part.listening.address)
         self.loop.run()
-        if self.admin:
-            self.admin.close()
-        self.log.info("ended", served=self.owner.served, refused=self.owner.refused, failed=self.owner.failed)
+        f = self.owner.figures
+        self.log.info("ended", served=f.total("answered_total"), refused=f.total("deferred_total"),
+                      failed=f.total("errored_total"))
         return 0
 
-    def status(self) -> dict:
-        o = self.owner
-        return {"name": self.config.name, "state": agent.agent_line(o).decode().strip(),
-                "up_s": round(time.monotonic() - self.started, 1), "in_hand": o.owed,
-                "running": sum(r.started for r in o.live.values()), "served": o.served, "refused": o.refused,
-                "failed": o.failed, "keys": len(o.keys.runs), "result_bytes": o.keys.bytes,
-                "log_dropped": self.sink.dropped,
-                "connections": {type(f).__name__: len(f.connections) for f in self.fronts}}
+    # ---- what operators call
+    def status(self) -> Answer:
+        o, f = self.owner, self.owner.figures
+        values = {"name": self.config.name, "state": o.state,
+                  "up_s": round(time.monotonic() - self.started, 1), "in_hand": o.owed,
+                  "running": sum(r.started for r in o.live.values()), "served": f.total("answered_total"),
+                  "refused": f.total("deferred_total"), "failed": f.total("errored_total"),
+                  "keys": len(o.keys.runs), "result_bytes": o.keys.bytes, "log_dropped": self.sink.dropped,
+                  "connections": {type(f).__name__: len(f.connections) for f in self.fronts}}
+        return said(values, HTTPStatus.OK if o.ready else HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def metrics(self) -> Answer:
+        return Answer(HTTPStatus.OK, self.owner.figures.text(self.owner.owed).encode(), CONTENT_TYPE)
+
+    def standby(self, on: bool) -> Answer:
+        self.owner.post(Standby(on))
+        return said({"standby": on})
 
     def reload(self) -> None:
         """Reads the configuration again, whole, and hands what can change to its parts.
@@ -118,19 +133,20 @@
         try:
             self.config, fixed = configuration.taken_over(self.config, configuration.load(self.path))
         except BadInput as error:
+            self.owner.figures.single["conf_invalid_total"] += 1
             self.log.error("configuration can't be used, the old one stays", why=str(error))
             return
+        self.owner.figures.single["conf_loaded_total"] += 1
         for take in self.takers:
             take(self.config)
         self.log.info("configuration read again", needs_a_restart=fixed)
 
-    def leave(self) -> dict:
+    def leave(self) -> None:
         if self.leaving_since is None:
             self.leaving_since = time.monotonic()
             self.log.info("leaving", stop_ms=self.config.stop_ms, in_hand=self.owner.owed)
             self.owner.post(Leaving(self.config.stop_ms * MS))
             self.loop.spawn(self._drain)
-        return {"state": "drain", "stop_ms": self.config.stop_ms}
 
     def _drain(self) -> None:
         """Answers all that was read, and ends as soon as no request can come any more."""
@@ -167,20 +183,21 @@
 
 
 def console(command: str, path: str | None, every: float | None = None) -> int:
+    """Calls the running worker as an operator does: 0 where it says yes, 1 where it says no or nothing."""
     config = configuration.load(path)
     if config.admin is None:
-        raise BadInput("setting console.admin: missing")
+        raise BadInput("setting admin: missing")
     while True:
         try:
-            said = ask(config.admin, command)
-        except (OSError, ValueError) as error:
+            yes, text = ask(config.admin, *CONSOLE[command][0])
+        except OSError as error:
             print(f"ochrehoist: no answer from the worker: {error}", file=sys.stderr)
             return 1
         if every is None:
-            for key, value in said.items():
-                print(f"{key:<14}{value}")
-            return 0
-        flat = (f"{key}={value}" for key, value in said.items() if not isinstance(value, dict))
+            print(text, end="")
+            return 0 if yes else 1
+        values = json.loads(text)
+        flat = (f"{key}={value}" for key, value in values.items() if not isinstance(value, dict))
         print(time.strftime("%H:%M:%S"), *flat, flush=True)
         try:
             time.sleep(max(0.1, every))
@@ -194,14 +211,16 @@
     commands = parser.add_subparsers(dest="command", metavar="COMMAND")
     commands.add_parser("run", help="serve in the foreground (the default)")
     commands.add_parser("check", help="read a configuration and say what is wrong").add_argument("file")
-    status = commands.add_parser("status", help="ask the running worker how it is")
-    status.add_argument("--every", metavar="SECONDS", type=float, help="and go on asking, a line each time")
-    commands.add_parser("drain", help="let the running worker answer all it has read, and end")
+    for name, (_, text) in CONSOLE.items():
+        command = commands.add_parser(name, help=text)
+        if name == "status":
+            command.add_argument("--every", metavar="SECONDS", type=float,
+                                 help="and go on asking, a line each time")
     given = parser.parse_args(arguments)
     try:
         if given.command == "check":
             return check(given.file)
-        if given.command in ("status", "drain"):
+        if given.command in CONSOLE:
             return console(given.command, given.config, getattr(given, "every", None))
         return serve(given.config)
     except BadInput as error:
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -69,9 +69,8 @@
     kernel: Address | None = None
     members: Address | None = None
     ajp: AjpConfig | None = None
-    admin: Address | str | None = None
+    admin: Address | None = None  # where operators call
     agent: Address | None = None
-    health: Address | None = None
 
 
 # ---- values
@@ -182,29 +181,19 @@
         retry_header=_header(headers, "retry", "X-Retry"), rules=_rules(r, settings), servers=_servers(r))
 
 
-def _admin(r: Reader) -> Address | str | None:
-    text = r.text("admin", None)
-    if text is not None and text.startswith("unix:"):
-        if not Path(text[5:]).parent.is_dir():
-            raise BadInput(f"setting {r.path}admin: no such folder: {text!r}")
-        return text[5:]
-    return _address(r, "admin", loopback=True)
-
-
 def _toml(path: str, key: str) -> Reader:
     try:
         data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
         raise BadInput(f"setting {key}: {path}: {error}") from None
-    top = _only(Reader(data, ""), "name", "stop_ms", "limits", "ajp", "console", "settings")
+    top = _only(Reader(data, ""), "name", "stop_ms", "limits", "admin", "ajp", "console", "settings")
     _only(top.part("limits", {}), "memory_mb", "sockets")
     return top
 
 
 def _second_front(top: Reader, settings: Settings) -> dict[str, Any]:
-    console = _only(top.part("console", {}), "admin", "agent_check", "health")
-    return {"ajp": _ajp(top.part("ajp"), settings), "admin": _admin(console),
-            "agent": _address(console, "agent_check", True), "health": _address(console, "health", True)}
+    console = _only(top.part("console", {}), "agent_check")
+    return {"ajp": _ajp(top.part("ajp"), settings), "agent": _address(console, "agent_check", True)}
 
 
 def _common(top: Reader, seed: int) -> dict[str, Any]:
@@ -216,27 +205,32 @@
             "sockets": limits.whole("sockets", 1024, least=64)}
 
 
-def load_appliance(path: str) -> Config:
+def load_appliance(path: str, environment: Mapping[str, str]) -> Config:
     """An appliance of its own: AJP in front, AJP servers behind."""
     top = _toml(path, "OCHREHOIST_AJP")
+    if environment.get("EDGE_ADMIN"):
+        top.data["admin"] = environment["EDGE_ADMIN"]
     common = _common(top, secrets.randbits(64))
-    return Config(**common, **_second_front(top, common["settings"]))
+    return Config(**common, admin=_address(top, "admin", True), **_second_front(top, common["settings"]))
 
 
 def load_platform(path: str, environment: Mapping[str, str]) -> Config:
-    """The platform's file; EDGE_NAME and EDGE_LISTEN go before it. AJP is on only where a file is named."""
+    """The platform's file; EDGE_NAME, EDGE_LISTEN and EDGE_ADMIN go before it.
+
+    AJP is on only where a file is named.
+    """
     try:
         data = json.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
         raise BadInput(f"setting EDGE_CONFIG: {error}") from None
     top = Reader(data, "")
-    for variable, key in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen")):
+    for variable, key in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_ADMIN", "admin")):
         if environment.get(variable):
             top.data[key] = environment[variable]
     common = _common(top, _seed(top))
     second = environment.get("OCHREHOIST_AJP")
     return Config(**common, listen=_required(top, "listen"), kernel=_required(top, "kernel"),
-                  members=_address(top, "members"),
+                  members=_address(top, "members"), admin=_address(top, "admin"),
                   **(_second_front(_toml(second, "OCHREHOIST_AJP"), common["settings"]) if second else {}))
 
 
@@ -246,7 +240,7 @@
         return load_platform(path, environment)
     if not path and environment.get("EDGE_CONFIG"):
         return load_platform(environment["EDGE_CONFIG"], environment)
-    return load_appliance(path or environment.get("OCHREHOIST_AJP") or APPLIANCE_FILE)
+    return load_appliance(path or environment.get("OCHREHOIST_AJP") or APPLIANCE_FILE, environment)
 
 
 # ---- a configuration read again while the worker runs
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from ochrehoist import interface as i
+from ochrehoist.core.figures import Figures
 from ochrehoist.core.keys import KeyTable
 from ochrehoist.core.requests import (
     Arrived,
@@ -24,6 +25,7 @@
     Message,
     Reason,
     Result,
+    Standby,
     Waker,
 )
 from ochrehoist.rules import AdmissionController
@@ -58,13 +60,35 @@
         self.ringing: tuple[int, list[int]] | None = None  # alarms that wait for gauges, and until when
         self.gauges: dict[str, float] = {}
         self.now = 0
-        self.healthy = True
+        self.module_good = True  # the module's own verdict
+        self.standby = False  # the operators want it empty
+        self.healthy = True  # what checks and reports say: all of this, and no notice to leave
         self.weight = 100  # per cent of its usual share that this worker asks for
         self.leave_at: int | None = None
         self.stop_at: int | None = None
-        self.served = self.refused = self.failed = 0
+        self.figures = Figures(c.name for c in settings.classes)
+        self._index()
         self.swept = 0
 
+    def _index(self) -> None:
+        """Positions in the settings by name: only the module's events speak of positions."""
+        self.kinds = {c.name: at for at, c in enumerate(self.settings.classes)}
+        self.tenants = {t.name: at for at, t in enumerate(self.settings.tenants)}
+
+    @property
+    def ready(self) -> bool:
+        """Whether the module is up, and this worker is to get requests."""
+        return self.controller is not None and self.healthy
+
+    @property
+    def state(self) -> str:
+        """In a word, for operators."""
+        if self.leave_at is not None:
+            return "leaving"
+        if self.controller is None:
+            return "starting"
+        return "standby" if self.standby else "up" if self.healthy else "down"
+
     def post(self, message: Message) -> None:
         self.inbox.append(message)
         self.waker.set()
@@ -107,35 +131,30 @@
 
     def _arrived(self, m: Arrived) -> None:
         r = m.request
-        if self.controller is None or r.id in self.live:
-            # Nothing ran: before the module is up, or where an id comes twice while the first is in hand.
-            r.answered = True
-            early = self.controller is None
-            return self._answer(r, lambda: r.responder.refused(SECOND, False) if early
-                                else r.responder.failed(Reason.INTERNAL))
-        cls = self.settings.classes[r.kind]
+        if self.controller is None:  # nothing ran: the module is not up
+            return self._turn_away(r)
+        if r.id in self.live:  # an id that comes twice while the first is in hand
+            return self._turn_away(r, Reason.INTERNAL)
         # Told by the Unix clock, which may have been set since the start: only its distance from now counts.
         # A time to come would put off the due time, and the window.
         r.arrived = self.now - max(0, self.wall() - r.arrived)
-        r.due = max(self.now, r.arrived + cls.deadline)
-        if r.arrived + cls.deadline <= self.now:
+        r.due = max(self.now, r.arrived + r.cls.deadline)
+        if r.arrived + r.cls.deadline <= self.now:
             # Its caller has given up. The module would take so long a wait for what all others wait now.
-            r.answered = True
-            return self._answer(r, lambda: r.responder.failed(Reason.GIVEN_UP))
+            return self._turn_away(r, Reason.GIVEN_UP)
         if self.stop_at is not None:
             r.due = min(r.due, self.stop_at - LAST_CALL)
         if r.token is not None and not self.keys.same(r.token, r.arrived, r.fingerprint):
             # The result of the other filing would be taken for this one's, and this one lost unseen.
-            r.answered = True
-            return self._answer(r, lambda: r.responder.failed(Reason.OTHER_CONTENT))
+            return self._turn_away(r, Reason.OTHER_CONTENT)
         self.live[r.id] = r
         self.owed += 1
         heappush(self.backstops, (r.due, r.id))
         original = self.keys.original(r.token, r.arrived) if r.token else None
         self._handle(i.Request(
-            id=r.id, kind=r.kind, tenant=r.tenant, key=r.key, work=r.work, memory_kb=r.memory_kb, rank=r.rank,
-            retry=r.retry, write=r.write, caller=r.caller, unread_for=max(0, self.now - r.arrived),
-            original=original))
+            id=r.id, kind=self.kinds[r.cls.name], tenant=self.tenants.get(r.tenant), key=r.key, work=r.work,
+            memory_kb=r.memory_kb, rank=r.rank, retry=r.retry, write=r.write, caller=r.caller,
+            unread_for=max(0, self.now - r.arrived), original=original))
 
     def _gone(self, m: Gone) -> None:
         r = self.live.get(m.id)
@@ -163,14 +182,20 @@
         if r is not None:
             self._finish(r, m.result, self.now - r.joined_at)
 
+    def _turn_away(self, r: Inbound, reason: Reason | None = None) -> None:
+        """Answers what the module never hears of: refused, or failed for a reason."""
+        r.answered = True
+        if reason is None:
+            self._answer(r, "deferred_total", lambda: r.responder.refused(SECOND, False))
+        else:
+            self._answer(r, "errored_total", lambda: r.responder.failed(reason))
+
     def _finish(self, r: Inbound, result: Result, took: int) -> None:
         if self._settle(r):
             if result.outcome is i.Outcome.OK:
-                self.served += 1
-                self._answer(r, lambda: r.responder.served(result))
+                self._answer(r, "answered_total", lambda: r.responder.served(result))
             else:
-                self.failed += 1
-                self._answer(r, lambda: r.responder.failed(Reason.EXECUTOR, result))
+                self._answer(r, "errored_total", lambda: r.responder.failed(Reason.EXECUTOR, result))
         self._handle(i.Completed(r.id, result.outcome, took))
 
     def _measured(self, m: Gauges) -> None:
@@ -188,10 +213,16 @@
             self._handle(i.Leave(m.remaining))
         for listener in self.listeners:
             listener.leaving(m.remaining)
-        self._set_health(False)
+        self._judge()
+
+    def _stood_by(self, m: Standby) -> None:
+        if m.on != self.standby:
+            self.standby = m.on
+            self.log.info("standby" if m.on else "active", in_hand=self.owed)
+            self._judge()
 
     TAKES = {Booted: _booted, Arrived: _arrived, Gone: _gone, Ended: _ended, Joined: _joined,
-             Gauges: _measured, Leaving: _leaving}
+             Gauges: _measured, Leaving: _leaving, Standby: _stood_by}
 
     # ---- time
     def _fall_due(self) -> None:
@@ -255,16 +286,18 @@
             self.live.pop(r.id, None)
         return True
 
-    def _answer(self, r: Inbound, send: Callable[[], None]) -> None:
+    def _answer(self, r: Inbound, figure: str, send: Callable[[], bool | None]) -> None:
+        """Sends the one final answer, and counts it as what the caller was told."""
         try:
-            send()
+            if send() is False:
+                figure = "errored_total"
+            self.figures.count(figure, r.cls.name)
         except Exception:
             self.log.exception("an answer could not be sent", id=r.id)
 
     def _fail(self, r: Inbound, reason: Reason) -> None:
         if self._settle(r):
-            self.failed += 1
-            self._answer(r, lambda: r.responder.failed(reason))
+            self._answer(r, "errored_total", lambda: r.responder.failed(reason))
 
     def _start(self, a: i.Start) -> None:
         r = self.live.get(a.id)
@@ -272,14 +305,14 @@
             return self.post(Ended(a.id, Result(i.Outcome.MOOT), 0))
         if r.started:
             return
-        cls = self.settings.classes[r.kind]
         if r.token is not None:
             if not self.keys.may_run(r.token, r.arrived):  # the module's rule; kept here a second time
                 self.log.error("a second run of one filing was held back", id=r.id)
                 r.started = True
                 return self.post(Ended(r.id, Result(i.Outcome.FAILED), 0))
-            self.keys.started(r.token, r.id, r.arrived + cls.window, r.fingerprint)
+            self.keys.started(r.token, r.id, r.arrived + r.cls.window, r.fingerprint)
         r.started = True
+        self.figures.count("sends_total", r.cls.name)
         try:
             r.executor.start(r)
         except Exception:
@@ -289,8 +322,7 @@
     def _refuse(self, a: i.Refuse) -> None:
         r = self.live.get(a.id)
         if r is not None and self._settle(r):
-            self.refused += 1
-            self._answer(r, lambda: r.responder.refused(a.backoff, a.no_retry))
+            self._answer(r, "deferred_total", lambda: r.responder.refused(a.backoff, a.no_retry))
 
     def _give_up(self, a: i.Fail) -> None:
         r = self.live.get(a.id)
@@ -317,8 +349,12 @@
             found = run.result if run is not None and run.result is not None else Result(i.Outcome.FAILED)
             self.post(Joined(r.id, found))
 
-    def _set_health(self, good: bool) -> None:
-        good = good and self.leave_at is None
+    def _set_health(self, a: i.Health) -> None:
+        self.module_good = a.good
+        self._judge()
+
+    def _judge(self) -> None:
+        good = self.module_good and not self.standby and self.leave_at is None
         if good != self.healthy:
             self.healthy = good
             for listener in self.listeners:
@@ -340,7 +376,7 @@
 
     ACTS = {
         i.Start: _start, i.Refuse: _refuse, i.Fail: _give_up, i.Keep: _keep, i.Forget: _forget, i.Join: _join,
-        i.Health: lambda self, a: self._set_health(a.good), i.KeepAlive: _keep_alive, i.SetAlarm: _set_alarm,
+        i.Health: _set_health, i.KeepAlive: _keep_alive, i.SetAlarm: _set_alarm,
         i.Log: lambda self, a: self.log.info("module", text=a.text),
         i.Stop: _unsupported, i.Call: _unsupported, i.SkipCall: _unsupported, i.Advise: _advise,
     }
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -4,9 +4,9 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from ochrehoist.interface import Outcome
+from ochrehoist.interface import Outcome, RequestClass
 
-KeyId = tuple[int | None, int, str]  # tenant, class and the caller's token: one filing
+KeyId = tuple[str | None, str, str]  # names of tenant and class, and the caller's token: one filing
 # Digests of what one filing says: of its target, where the wire has one, and of its body.
 Fingerprint = tuple[bytes | None, bytes]
 
@@ -34,7 +34,9 @@
 class Responder(Protocol):
     """Carries one final answer to the caller. It never blocks; a caller that has left is no error."""
 
-    def served(self, result: Result) -> None: ...
+    def served(self, result: Result) -> bool:
+        """Whether the caller was given it as served: some results another wire can't carry."""
+        ...
 
     def refused(self, backoff: int, no_retry: bool) -> None: ...
 
@@ -70,12 +72,12 @@
     """One request that was read whole, and how far it has come."""
 
     id: str
-    kind: int
+    cls: RequestClass  # as it was when the request was read: an open request keeps it
     arrived: int  # Unix ns when it reached the machine
     payload: Any  # for the executor, unread here
     responder: Responder
     executor: Executor
-    tenant: int | None = None
+    tenant: str | None = None
     key: str | None = None
     token: KeyId | None = None
     fingerprint: Fingerprint | None = None
@@ -138,4 +140,11 @@
     remaining: int
 
 
-Message = Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving
+@dataclass(slots=True)
+class Standby:
+    """The operators empty the worker, or take that back: checks turn bad, and nothing else changes."""
+
+    on: bool
+
+
+Message = Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -13,7 +13,7 @@
 from ochrehoist.config import AjpConfig
 from ochrehoist.core.owner import Owner
 from ochrehoist.core.requests import Arrived, Executor, Gone, Inbound, Reason, Result
-from ochrehoist.interface import Outcome, Repeat
+from ochrehoist.interface import Outcome, Repeat, RequestClass, Settings
 from ochrehoist.net import ajp
 from ochrehoist.net.ajp_server import AjpPayload, read_packet
 from ochrehoist.net.listener import Listening, Pace
@@ -30,6 +30,7 @@
     def __init__(self, status: HTTPStatus, why: str) -> None:
         super().__init__(why)
         self.status = status
+        self.group: str | None = None  # the class it would have had, where that is known
 
 
 def _text(f: ajp.Forward, header: bytes) -> str:
@@ -45,25 +46,32 @@
 
     def __init__(self, owner: Owner, executor: Executor, config: AjpConfig) -> None:
         self.owner, self.executor = owner, executor
-        self.configure(config)
-        self.tenants = {t.name: at for at, t in enumerate(owner.settings.tenants)}
-        self.kinds = {c.name: at for at, c in enumerate(owner.settings.classes)}
+        self.configure(config, owner.settings)
         self.ids = itertools.count(1)
 
-    def configure(self, config: AjpConfig) -> None:
+    def configure(self, config: AjpConfig, settings: Settings) -> None:
         self.config = config
+        self.classes = {c.name: c for c in settings.classes}
+        self.tenants = {t.name for t in settings.tenants}
         self.longest_secret = max(len(s.secret.encode()) + 4 if s.secret else 0 for s in config.servers)
 
-    def check(self, f: ajp.Forward) -> tuple[int, int | None, str | None]:
+    def check(self, f: ajp.Forward) -> tuple[RequestClass, str | None, str | None]:
         """Class, tenant and filing key, before any of the body is read."""
         secret = self.config.secret
         if secret is not None and not hmac.compare_digest(secret.encode(), f.secret or b""):
             raise Rejected(HTTPStatus.FORBIDDEN, "wrong secret")
         path = f.uri.split(b"?")[0].split(b";")[0].decode("latin-1")
-        kind = next((self.kinds[r.kind] for r in self.config.rules
+        cls = next((self.classes[r.kind] for r in self.config.rules
                      if (not r.methods or f.method in r.methods) and fnmatchcase(path, r.uri)), None)
-        if kind is None:
+        if cls is None:
             raise Rejected(HTTPStatus.NOT_FOUND, "no class for this request")
+        try:
+            return cls, *self._details(f, cls)
+        except Rejected as error:
+            error.group = cls.name
+            raise
+
+    def _details(self, f: ajp.Forward, cls: RequestClass) -> tuple[str | None, str | None]:
         if f.length > self.config.max_body:
             raise Rejected(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
         if len(f.packet) + self.longest_secret > self.config.packet_size - ajp.HEAD:
@@ -74,21 +82,20 @@
         token = _text(f, self.config.key_header).strip()
         if len(token) > 1 and token[0] == token[-1] == '"':  # the header's own form is a quoted string
             token = token[1:-1]
-        if self.owner.settings.classes[kind].repeat is not Repeat.KEYED:
+        if cls.repeat is not Repeat.KEYED:
             token = ""
         elif not token or len(token) > 255:
             raise Rejected(HTTPStatus.BAD_REQUEST, "a filing needs a key")
-        return kind, self.tenants.get(tenant), token or None
+        return tenant, token or None
 
     def request(self, f: ajp.Forward, checked: tuple, body: bytes, arrived: int,
                 responder: "AjpResponder") -> Inbound:
-        kind, tenant, token = checked
-        cls = self.owner.settings.classes[kind]
+        cls, tenant, token = checked
         retry = f.headers.get(self.config.retry_header, b"")
         return Inbound(
-            id=f"ajp-{next(self.ids)}", kind=kind, arrived=arrived, payload=AjpPayload(f, body),
+            id=f"ajp-{next(self.ids)}", cls=cls, arrived=arrived, payload=AjpPayload(f, body),
             responder=responder, executor=self.executor, tenant=tenant,
-            token=(tenant, kind, token) if token else None,
+            token=(tenant, cls.name, token) if token else None,
             fingerprint=(sha256(f"{f.method} ".encode() + f.uri).digest(), sha256(body).digest())
             if token else None,
             memory_kb=self.config.memory_kb + (len(f.packet) + len(body)) / 1024, rank=0.5,
@@ -112,14 +119,16 @@
                   (ajp.CONTENT_LENGTH, b"%d" % len(text)), *more]
         self._respond(ajp.headers(status.value, status.phrase, values), text)
 
-    def served(self, result: Result) -> None:
+    def served(self, result: Result) -> bool:
         self.connection.served = True
         if isinstance(result.detail, ajp.Reply):
-            return self._respond(result.detail.headers, result.body)
+            self._respond(result.detail.headers, result.body)
+            return True
         # The result of a filing that ran for another front: its bytes, as they are.
         values = [(ajp.CONTENT_TYPE, b"application/octet-stream"),
                   (ajp.CONTENT_LENGTH, b"%d" % len(result.body))]
         self._respond(ajp.headers(200, "OK", values), result.body)
+        return True
 
     def refused(self, backoff: int, no_retry: bool) -> None:
         seconds = max(1, -(-backoff // S))
@@ -191,17 +200,20 @@
             return responder.plain(HTTPStatus.OK if good else HTTPStatus.SERVICE_UNAVAILABLE,
                                    "up" if good else "not taking requests")
         unread = bool(f.length)  # the first chunk of a told length is on its way unasked
+        checked = None
         try:
             checked = self.front.reader.check(f)
-            kind = checked[0]
             self._book(f.length)
             # A body that takes longer than its caller waits is of no use.
-            until = time.monotonic() + self.front.owner.settings.classes[kind].deadline / S
+            until = time.monotonic() + checked[0].deadline / S
             body = self._body(f, until)
             unread = False
         except Rejected as error:
             again = ((b"Retry-After", b"1"),) if error.status is HTTPStatus.SERVICE_UNAVAILABLE else ()
             responder.plain(error.status, str(error), again)
+            group = checked[0].name if checked else error.group
+            if group is not None:
+                self.front.owner.figures.count("deferred_total" if again else "errored_total", group)
             if f.chunked and self.body_bytes:
                 self.stream.close_when_sent()  # a body broken off: this connection is out of step
             elif unread:
@@ -273,7 +285,7 @@
 
     def configure(self, config: AjpConfig) -> None:
         self.config = config
-        self.reader.configure(config)
+        self.reader.configure(config, self.owner.settings)
 
     def _accepted(self, sock: socket.socket) -> Callable[[], None]:
         # Room for one response and some: a client that reads slowly holds up nobody else.
--- a/ochrehoist/net/kernel.py
+++ b/ochrehoist/net/kernel.py
@@ -136,7 +136,7 @@
         return sum(run.doubtful for run in self.running.values())
 
     def _safe(self, run: Run) -> bool:
-        return self.owner.settings.classes[run.request.kind].repeat is Repeat.SAFE
+        return run.request.cls.repeat is Repeat.SAFE
 
     def _let_go(self, run: Run) -> None:
         if run.doubtful and self.running.get(run.request.id) is run:
--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -36,7 +36,7 @@
 class Listening:
     """`make_room` closes a connection that can be spared, where there is one, and says whether it did."""
 
-    def __init__(self, loop: Loop, address: tuple[str, int] | str,
+    def __init__(self, loop: Loop, address: tuple[str, int],
                  accepted: Callable[[socket.socket], Callable[[], None]], limit: int, log: Any,
                  make_room: Callable[[], bool] = no_room) -> None:
         self.loop, self.accepted, self.limit, self.log = loop, accepted, limit, log
@@ -46,7 +46,7 @@
         self._resume()
 
     @property
-    def address(self) -> tuple[str, int] | str:
+    def address(self) -> tuple[str, int]:
         return self.sock.getsockname()
 
     def full(self) -> bool:
@@ -103,15 +103,28 @@
 
     max_open = 16  # at once: a flood of them must not take the descriptors of requests
 
-    def __init__(self, loop: Loop, address: tuple[str, int] | str, log: Any) -> None:
+    def __init__(self, loop: Loop, address: tuple[str, int], log: Any,
+                 make_room: Callable[[], bool] = no_room) -> None:
         self.loop, self.log = loop, log
-        self.listening = Listening(loop, address, self._accepted, self.max_open, log)
+        self.listening = Listening(loop, address, self._accepted, self.max_open, log, make_room)
 
     def _accepted(self, sock: socket.socket) -> Callable[[], None]:
         stream = Stream(self.loop, sock)
-        stream.on_close = self.listening.closed
+        self.opened(stream)
+
+        def closed() -> None:
+            self.ended(stream)
+            self.listening.closed()
+
+        stream.on_close = closed
         return lambda: self._run(stream)
 
+    def opened(self, stream: Stream) -> None:
+        pass
+
+    def ended(self, stream: Stream) -> None:
+        pass
+
     def _run(self, stream: Stream) -> None:
         try:
             self.serve(stream)
--- a/ochrehoist/net/stream.py
+++ b/ochrehoist/net/stream.py
@@ -1,7 +1,6 @@
 """A bounded, buffered socket. Reading waits; writing never does: what a peer is slow to take is kept."""
 
 import errno
-import os
 import socket
 import time
 from collections.abc import Callable
@@ -161,25 +160,10 @@
     return Stream(loop, sock)
 
 
-def _unlink_stale(path: str) -> None:
-    """A socket file that nobody listens at is what a killed process left behind; a live one is kept."""
-    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
-        try:
-            probe.connect(path)
-        except ConnectionRefusedError:
-            os.unlink(path)
-        except OSError:
-            pass
-
-
-def listen(address: tuple[str, int] | str) -> socket.socket:
-    """A listening socket at a TCP address or a Unix path."""
-    unix = isinstance(address, str)
-    sock = socket.socket(socket.AF_UNIX if unix else socket.AF_INET, socket.SOCK_STREAM)
-    if unix:
-        _unlink_stale(address)
-    else:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+def listen(address: tuple[str, int]) -> socket.socket:
+    """A listening socket at a TCP address."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         sock.bind(address)
         sock.listen(1024)
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -81,23 +81,25 @@
     """Reads the arguments of an invoke call into a core request."""
 
     def __init__(self, settings: Settings, executor: Executor) -> None:
-        self.settings, self.executor = settings, executor
-        self.kinds = {c.name: at for at, c in enumerate(settings.classes)}
-        self.tenants = {t.name: at for at, t in enumerate(settings.tenants)}
+        self.executor = executor
+        self.configure(settings)
+
+    def configure(self, settings: Settings) -> None:
+        self.classes = {c.name: c for c in settings.classes}
+        self.tenants = {t.name for t in settings.tenants}
 
     def request(self, values: dict[bytes, bytes], body: bytes, responder: "ThriftResponder") -> Inbound:
         f = Fields(values)
         method, rid = f.text("method"), f.text("rid")
-        if method not in self.kinds:
+        cls = self.classes.get(method)
+        if cls is None:
             raise thrift.BadArguments("field method: unknown class")
         if len(rid) != 16 or not HEX.issuperset(rid):
             raise thrift.BadArguments("field rid: not 16 hex digits")
-        kind = self.kinds[method]
         acct = f.text("acct", required=bool(self.tenants))
         if acct is not None and acct not in self.tenants:
             raise thrift.BadArguments("field acct: unknown tenant")
-        tenant = self.tenants.get(acct)
-        keyed = self.settings.classes[kind].repeat is Repeat.KEYED
+        keyed = cls.repeat is Repeat.KEYED
         token = f.text("token", required=keyed)
         if keyed and not token:
             raise thrift.BadArguments("field token: empty")
@@ -105,14 +107,14 @@
             raise thrift.BadArguments("body: too long")
         est = f.number("est", 0.0, 1e9, required=False)
         return Inbound(
-            id=rid, kind=kind, arrived=f.whole("t0") * MS, payload=Payload(method, body), responder=responder,
-            executor=self.executor, tenant=tenant, key=f.text("obj", required=False),
-            token=(tenant, kind, token) if keyed else None,
+            id=rid, cls=cls, arrived=f.whole("t0") * MS, payload=Payload(method, body), responder=responder,
+            executor=self.executor, tenant=acct, key=f.text("obj", required=False),
+            token=(acct, method, token) if keyed else None,
             fingerprint=(None, sha256(body).digest()) if keyed else None, work=int(est * MS) if est else None,
             memory_kb=f.number("mem", SMALLEST, 2000.0),
             rank=f.number("prio", 0.0, 1.0, required=False) or 0.0,
             retry=f.text("again", required=False) == "1",
-            write=self.settings.classes[kind].repeat is not Repeat.SAFE,
+            write=cls.repeat is not Repeat.SAFE,
             caller=f.whole("peer", required=False) or 0)
 
 
@@ -127,12 +129,14 @@
     def _reply(self, field_id: int, value: bytes) -> None:
         self.connection.answer(self.seqid, thrift.reply(INVOKE, self.seqid, field_id, value))
 
-    def served(self, result: Result) -> None:
+    def served(self, result: Result) -> bool:
         if not result.success or len(result.body) > MAX_RESULT:
             # A run of another front made it: an error there, or more than this wire can carry.
-            return self._reply(2, thrift.problem({b"reason": b"no result that this protocol can carry"}))
+            self._reply(2, thrift.problem({b"reason": b"no result that this protocol can carry"}))
+            return False
         self.connection.served = True
         self._reply(0, thrift.answer(result.body, {}, True))
+        return True
 
     def refused(self, backoff: int, no_retry: bool) -> None:
         values = {}
@@ -233,6 +237,9 @@
             request = self.front.reader.request(values, body, responder)
         except thrift.BadArguments as error:
             self._write(thrift.application_exception(INVOKE, m.seqid, thrift.PROTOCOL_ERROR, str(error)))
+            method = (values or {}).get(b"method", b"").decode("latin-1")
+            if method in self.front.reader.classes:
+                self.front.owner.figures.count("errored_total", method)
             return
         self.checks_only = False
         self.calls += 1
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -1,6 +1,7 @@
 """The real program as a process, and small stand-ins for all it talks to. Every wait ends by itself."""
 
 import base64
+import http.client
 import json
 import os
 import queue
@@ -102,7 +103,7 @@
     """Runs nothing by itself: a test takes what is scheduled and reaps it. It may go on from another."""
 
     def __init__(self, notices=()):
-        self.notices, self.out, self.runnable = list(notices), None, 1.0
+        self.notices, self.out, self.runnable, self.boots = list(notices), None, 1.0, True
         self.scheduled, self.opened, self.asked = queue.Queue(), queue.Queue(), queue.Queue()
         self.lock = threading.Lock()
         super().__init__()
@@ -110,6 +111,8 @@
     def talk(self, sock):
         for line in sock.makefile("rb"):
             m = json.loads(line)
+            if m["cmd"] == "OPEN" and not self.boots:
+                continue
             if m["cmd"] == "OPEN":
                 with self.lock:
                     self.out = sock
@@ -225,6 +228,7 @@
         self.send("abort", b"\x08\0\1" + struct.pack(">i", seqid) + b"\0", kind=4)
 
     def ping(self):
+        """`good` is then what it said."""
         return self.answer(self.send("ping", b"\x02\0\1\0\0"))
 
     def _struct(self, data, at):
@@ -272,6 +276,7 @@
                 self.early[got] = ("Exception", {}, value[1])
             else:
                 (field, inner), = value.items()
+                self.good = inner.get(3)
                 self.early[got] = (("Answer", inner[2], inner[1]), ("Throttled", inner[1], b""),
                                    ("Broken", inner[1], b""))[field] if field == 0 \
                     else (("Throttled", "Broken")[field - 1], inner[1], b"")
@@ -436,9 +441,10 @@
     """python -m ochrehoist, with stand-ins behind it; fronts are on as asked for."""
 
     def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, fault=None,
-                 stall_log=False, **more):
+                 stall_log=False, boot=True, **more):
         self.folder = tempfile.TemporaryDirectory()
         self.kernel, self.members, self.server = Kernel(), Members(), AjpServer()
+        self.kernel.boots = boot
         site, limits = site or settings(), {"memory_mb": 64, "sockets": sockets}
         env = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "OCHREHOIST_"))}
         front = {"listen": "127.0.0.1:0", "rules": [
@@ -447,11 +453,9 @@
             "servers": [{"address": self.server.address, "reply_ms": 1200}], "body_s": 3.0} | more
         if secret:
             front["secret"] = secret
-        self.admin = f"{self.folder.name}/admin.sock"
-        console = {"admin": f"unix:{self.admin}", "agent_check": "127.0.0.1:0", "health": "127.0.0.1:0"}
-        top = {"name": "n1", "stop_ms": stop_ms, "limits": limits}
+        top = {"name": "n1", "stop_ms": stop_ms, "limits": limits, "admin": "127.0.0.1:0"}
         if ajp:
-            whole = top | {"ajp": front, "console": console, "settings": site}
+            whole = top | {"ajp": front, "console": {"agent_check": "127.0.0.1:0"}, "settings": site}
             env["OCHREHOIST_AJP"] = self.file("ajp.toml", toml_file(whole))
             self.appliance = whole
         if thrift:
@@ -466,11 +470,11 @@
         self.process = subprocess.Popen([sys.executable, "-m", "ochrehoist"], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True)
         self.started = threading.Event()
-        self.expected, self.stall_log = thrift + 4 * ajp, stall_log
+        self.expected, self.stall_log = 1 + thrift + 2 * ajp, stall_log
         self.reader = threading.Thread(target=self._read, daemon=True)
         self.reader.start()
         assert self.started.wait(PATIENCE), self.lines
-        if thrift:
+        if thrift and boot:
             self.kernel.opened.get(timeout=PATIENCE)
 
     def file(self, name, content):
@@ -505,20 +509,31 @@
     def ajp(self):
         return Ajp(self.at["AjpFront"])
 
+    def operator(self, method="GET", path="/status"):
+        """An operator's call: status and text."""
+        connection = http.client.HTTPConnection(*self.at["Operators"], timeout=PATIENCE)
+        connection.request(method, path)
+        answer = connection.getresponse()
+        text = answer.read().decode()
+        connection.close()
+        return answer.status, text
+
+    def figure(self, name, group=None):
+        """One of the figures, as a number."""
+        label = f'{{group="{group}"}}' if group else ""
+        lines = self.operator(path="/status/metrics")[1].splitlines()
+        return int(next(line for line in lines if line.startswith(f"app_{name}{label} ")).split()[1])
+
     def console(self, *command):
-        return run("--config", self.env["OCHREHOIST_AJP"], *command, env=self.env)
+        """The program's own commands; its address was not known when the file was written."""
+        host, port = self.at["Operators"]
+        return run(*command, env=self.env | {"EDGE_ADMIN": f"{host}:{port}"})
 
     def wait_for(self, good):
-        """Until the console's status fits; each question is a round trip, not a sleep."""
+        """Until the status fits; each question is a round trip, not a sleep."""
         until = time.monotonic() + PATIENCE
-        while time.monotonic() < until:
-            with socket.socket(socket.AF_UNIX) as sock:
-                sock.connect(self.admin)
-                sock.sendall(b"status\n")
-                said = json.loads(sock.makefile().readline())
-            if good({k: str(v) for k, v in said.items()}):
-                return
-        raise AssertionError(said)
+        while not good(said := {k: str(v) for k, v in json.loads(self.operator()[1]).items()}):
+            assert time.monotonic() < until, said
 
     def said(self, event):
         return [line for line in self.lines if line["event"] == event]
--- a/tests/test_ajp_front.py
+++ b/tests/test_ajp_front.py
@@ -236,20 +236,16 @@
         with socket.create_connection(tuple(self.program.at["AgentCheck"])) as sock:
             return sock.makefile("rb").read()
 
-    def get(self):
-        with socket.create_connection(tuple(self.program.at["HttpHealth"])) as sock:
-            sock.sendall(b"GET /healthz HTTP/1.0\r\n\r\n")
-            return sock.makefile("rb").read().split(b"\r\n")[0]
-
-    def test_all_checks_say_what_the_module_says_and_the_console_drains(self):
+    def test_all_checks_say_what_the_module_says_and_the_notice_drains(self):
         web, busy = self.program.ajp(), self.program.ajp()
-        self.assertEqual((self.line(), self.get()), (b"up 100%\n", b"HTTP/1.1 200 OK"))
+        self.assertEqual((self.line(), self.program.operator()[0]), (b"up 100%\n", 200))
         self.assertTrue(web.cping())
         self.assertEqual(web.call("GET", "/healthz")[0], 200)
         busy.request()
         respond = self.server.next()[2]
-        self.assertIn("drain", self.program.console("drain").stdout)
-        self.assertEqual((self.line(), self.get()), (b"drain\n", b"HTTP/1.1 503 Service Unavailable"))
+        self.program.process.send_signal(signal.SIGTERM)
+        self.program.wait_for(lambda status: status["state"] == "leaving")
+        self.assertEqual((self.line(), self.program.operator()[0]), (b"drain\n", 503))
         with self.assertRaises(EOFError):
             web.cping()
         respond(200, b"last")
@@ -258,6 +254,17 @@
         self.assertEqual(self.program.ended(), 0)
         self.assertEqual(self.program.console("status").returncode, 1)
 
+    def test_standby_turns_all_checks_bad_and_serves_what_comes(self):
+        web, told = self.program.ajp(), self.program.ajp()
+        self.assertEqual(self.program.console("standby").returncode, 0)
+        self.assertEqual((self.line(), told.call("GET", "/healthz")[0]), (b"drain\n", 503))
+        web.request()
+        self.server.next()[2](200, b"served")
+        self.assertEqual(web.answer()[::2], (200, b"served"))
+        self.assertTrue(web.reuse)
+        self.assertEqual(self.program.console("active").returncode, 0)
+        self.assertEqual((self.line(), web.cping()), (b"up 100%\n", True))
+
 
 class Both(AjpCase):
     """Both protocols on one core: clients of each, the kernel and an AJP server behind."""
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -36,8 +36,8 @@
                 ("setting ajp.default_tenant", {"ajp": {"default_tenant": "who"}}),
                 ("setting ajp.secrte", {"ajp": {"secrte": "misspelt"}}),
                 ("setting limits.memory", {"limits": {"memory": 1}}),
-                ("setting console.admin", {"console": {"admin": "unix:/no/such/folder/sock"}}),
-                ("setting console.health", {"console": {"health": "192.0.2.1:80"}}),
+                ("setting admin", {"admin": "192.0.2.1:80"}),
+                ("setting console.agent_check", {"console": {"agent_check": "192.0.2.1:80"}}),
                 ("setting FleetSize", {"settings": {"FleetSize": 0}}),
                 ("setting stop_ms", {"stop_ms": "soon"})):
             with self.subTest(named):
