--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -3,21 +3,25 @@
 import argparse
 import json
 import signal
+import socket
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
 from ochrehoist import config as configuration
 from ochrehoist.config import Config
 from ochrehoist.core.figures import CONTENT_TYPE
 from ochrehoist.core.owner import Owner
-from ochrehoist.core.requests import Booted, Leaving, Standby
+from ochrehoist.core.requests import Booted, Standby
 from ochrehoist.logs import LogSink, start_log
 from ochrehoist.net import agent
+from ochrehoist.net.ajp import ReplyCodec
 from ochrehoist.net.ajp_front import AjpFront
 from ochrehoist.net.ajp_server import AjpServers
+from ochrehoist.net.ending import Ending
 from ochrehoist.net.kernel import Kernel
+from ochrehoist.net.link import Predecessor, Successors, predecessors_sockets
 from ochrehoist.net.listener import Service
 from ochrehoist.net.loop import Loop, Signal, steady_clock
 from ochrehoist.net.members import Members
@@ -25,19 +29,17 @@
 from ochrehoist.net.thrift_front import ThriftFront
 from ochrehoist.settings import BadInput
 
-MS = 1_000_000
 RESULT_SHARE = 0.15  # of the process memory, for the results of filings
 BODY_SHARE = 0.12  # of it, for AJP bodies coming in, for responses being read, and for those not yet sent
+LEAST = 8  # connections that a front may have at once, whatever the process before this one still holds
 RESERVED = 24  # descriptors for all that is no accepted connection
 SERVICE = Service.max_open + 1  # and for the operators' address and the agent checks, each, where they are on
-QUIET = 0.05  # s without a request in hand before a drained worker ends
 CONSOLE = {  # the commands that call the running worker: how, and what for
     "status": (("GET", "/status"), "ask the running worker how it is, and whether it is ready to serve"),
     "metrics": (("GET", "/status/metrics"), "ask it for its figures"),
     "standby": (("POST", "/standby"), "empty it: checks turn bad, what still comes is answered as ever"),
     "active": (("POST", "/active"), "let it take clients again"),
 }
-END_EARLY = 0.1  # s before it would be killed; the core answers what is left a little earlier still
 
 
 class Worker:
@@ -50,10 +52,19 @@
         self.owner = owner = Owner(
             config.settings, config.seed, Signal(loop), steady_clock(), time.time_ns, self.log,
             int(config.memory_mb * 1e6 * RESULT_SHARE), lambda: self.gauge_source.measure())
+        self.inherited = predecessors_sockets(config.link) if config.link else None
+        self.members: Members | None = None
+        self.successors: Successors | None = None
+        self.predecessor: Predecessor | None = None
         self.fronts: list[ThriftFront | AjpFront] = []
         self.tasks = [owner.run]
         self.takers: list[Callable[[Config], None]] = []  # parts that take a configuration read again
         room = config.sockets - RESERVED - SERVICE * sum(a is not None for a in (config.admin, config.agent))
+        kernel = None
+
+        def inherited(address: tuple[str, int]) -> socket.socket | None:
+            return (self.inherited or {}).get(address)
+
         if config.ajp:
             body_bytes = int(config.memory_mb * 1e6 * BODY_SHARE)
             servers = AjpServers(loop, owner, config.ajp, body_bytes, self.log)
@@ -65,43 +76,63 @@
             if most < 1:
                 raise BadInput(f"setting limits.sockets: too few: {config.sockets}")
             room -= most
-            front = AjpFront(loop, owner, servers, config.ajp, most, body_bytes, self.log)
+            front = AjpFront(loop, owner, servers, config.ajp, most, body_bytes, self.log,
+                             inherited(config.ajp.listen))
             self.fronts.append(front)
             self.takers += [lambda new: servers.configure(new.ajp), lambda new: front.configure(new.ajp)]
         if config.listen:
             self.gauge_source = kernel = Kernel(loop, owner, config.kernel, config.gauges, self.log)
             self.tasks.append(kernel.run)
             self.takers.append(lambda new: kernel.move(new.kernel))
-            self.fronts.append(ThriftFront(loop, owner, kernel, config.listen, room, self.log))
+            passed = inherited(config.listen)
+            if config.passed is not None:
+                passed = socket.socket(fileno=config.passed)
+            self.fronts.append(ThriftFront(loop, owner, kernel, config.listen, room, self.log, passed))
         else:
             owner.post(Booted(None, 0))
         if config.members:
-            members = Members(loop, owner, config.members, config.name, self.log)
-            self.tasks.append(members.run)
+            self.members = members = Members(loop, owner, config.members, config.name, self.log)
             self.takers.append(lambda new: members.move(new.members))
             owner.listeners.append(members)
         owner.listeners += self.fronts
         self.listeners: list = list(self.fronts)
         if config.agent:
-            self.listeners.append(agent.AgentCheck(loop, owner, config.agent, self.log))
+            self.listeners.append(agent.AgentCheck(loop, owner, config.agent, self.log,
+                                                   inherited(config.agent)))
         if config.admin:
             self.listeners.append(Operators(loop, config.admin, {
                 "/status": {"GET": self.status}, "/status/metrics": {"GET": self.metrics},
                 "/standby": {"POST": lambda: self.standby(True)},
-                "/active": {"POST": lambda: self.standby(False)}}, self.log))
+                "/active": {"POST": lambda: self.standby(False)}}, self.log, inherited(config.admin)))
+        self.handed = {p.listening.address for p in self.listeners
+                       if p.listening.sock in (self.inherited or {}).values()}
+        for address, sock in (self.inherited or {}).items():
+            if address not in self.handed:
+                sock.close()  # of no use here: what waits in its queue is for the process that listens there
+        self.ending = Ending(loop, owner, self.fronts, config.stop_ms, self.log)
+        self.room = {front: front.listening.limit for front in self.fronts}
+        if config.link:
+            self._take_up(config.link)
+        if kernel is not None:
+            kernel.shared = lambda: bool(owner.forwarder or (self.predecessor and self.predecessor.present))
         self.started = time.monotonic()
-        self.leaving_since: float | None = None
 
     def run(self) -> int:
-        for number, call in ((signal.SIGTERM, self.leave), (signal.SIGINT, self.leave),
+        for number, call in ((signal.SIGTERM, self.ending.leave), (signal.SIGINT, self.ending.leave),
                              (signal.SIGHUP, self.reload)):
             if signal.getsignal(number) is not signal.SIG_IGN:  # as under nohup
                 self.loop.on_signal(number, call)
         for task in self.tasks:
             self.loop.spawn(task)
+        if self.predecessor is None:
+            self._serve()
         for part in self.listeners:
+            if isinstance(part, Operators) and part.listening.address not in self.handed:
+                part.listening.start()  # it says from the start that it is not ready
             self.log.info("started", part=type(part).__name__, listen=part.listening.address)
         self.loop.run()
+        if self.successors:
+            self.successors.close()
         f = self.owner.figures
         self.log.info("ended", served=f.total("answered_total"), refused=f.total("deferred_total"),
                       failed=f.total("errored_total"))
@@ -119,7 +150,7 @@
         return said(values, HTTPStatus.OK if o.ready else HTTPStatus.SERVICE_UNAVAILABLE)
 
     def metrics(self) -> Answer:
-        return Answer(HTTPStatus.OK, self.owner.figures.text(self.owner.owed).encode(), CONTENT_TYPE)
+        return Answer(HTTPStatus.OK, self.owner.figures.text(self.owner.current).encode(), CONTENT_TYPE)
 
     def standby(self, on: bool) -> Answer:
         self.owner.post(Standby(on))
@@ -130,6 +161,8 @@
 
         Nothing is lost by it: runs, keys, notices and open connections go on. A bad file changes nothing.
         """
+        if self.owner.forwarder is not None:
+            return  # the file is for the process that decides now
         try:
             self.config, fixed = configuration.taken_over(self.config, configuration.load(self.path))
         except BadInput as error:
@@ -141,29 +174,45 @@
             take(self.config)
         self.log.info("configuration read again", needs_a_restart=fixed)
 
-    def leave(self) -> None:
-        if self.leaving_since is None:
-            self.leaving_since = time.monotonic()
-            self.log.info("leaving", stop_ms=self.config.stop_ms, in_hand=self.owner.owed)
-            self.owner.post(Leaving(self.config.stop_ms * MS))
-            self.loop.spawn(self._drain)
-
-    def _drain(self) -> None:
-        """Answers all that was read, and ends as soon as no request can come any more."""
-        stop = self.leaving_since + self.config.stop_ms / 1000 - END_EARLY
-        # What comes later would not be run: from then on a refused connection tells as much.
-        closing = min(self.leaving_since + self.config.settings.drain_grace / 1e9, stop - 0.3)
-        self.loop.sleep(max(0.0, closing - time.monotonic()))
+    # ---- replacing the process
+    def _take_up(self, path: str) -> None:
+        """Finds out whether another process serves, and prepares to replace it, and to be replaced."""
+        codec = ReplyCodec()
+        self.successors = Successors(self.loop, self.owner, path, codec, self._sockets, self._replaced,
+                                     self.log)
+        if self.inherited is None:
+            return
+        self.predecessor = Predecessor(
+            self.loop, self.owner, path, codec, lambda: [p.listening.address for p in self.listeners],
+            self._serve, self._make_way, self.log)
+        self.tasks.append(self.predecessor.run)
+
+    def _sockets(self) -> dict[str, socket.socket]:
+        return {type(p).__name__: p.listening.sock for p in self.listeners if not p.listening.stopped}
+
+    def _serve(self) -> None:
+        """No other process decides: this one takes what comes."""
+        for part in self.listeners:
+            part.listening.start()
+        if self.members:
+            self.loop.spawn(self.members.run)
+        if self.successors:
+            self.successors.listen()
+
+    def _replaced(self, at: list) -> None:
+        """Another process decides now. Where it listens too, this one no longer does."""
+        for part in self.listeners:
+            if list(part.listening.address) in at:
+                part.listening.stop(leave_queue=True)
+        if self.members:
+            self.members.stop()
+        self.ending.retire(self.successors.holds)
+
+    def _make_way(self, held: Mapping[str, int]) -> None:
+        """The connections that the process before this one still holds count against the limit of both."""
         for front in self.fronts:
-            front.listening.stop()
-        quiet = 0.0
-        while time.monotonic() < stop and quiet < QUIET:
-            for front in self.fronts:
-                front.end_idle()
-            busy = self.owner.owed or self.owner.inbox or any(f.connections for f in self.fronts)
-            quiet = 0.0 if busy else quiet + 0.01
-            self.loop.sleep(0.01)
-        self.loop.stop()
+            used = held.get(type(front).__name__, 0) if self.predecessor and held else 0
+            front.listening.set_limit(max(LEAST, self.room[front] - used - (RESERVED // 2 if held else 0)))
 
 
 def serve(path: str | None) -> int:
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -4,9 +4,11 @@
 import json
 import os
 import secrets
+import socket
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, fields, replace
+from hashlib import sha256
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +17,7 @@
 
 Address = tuple[str, int]
 APPLIANCE_FILE = "deploy/ajp.toml"  # where nothing else is named
+MAX_LINK = 90  # bytes of a path; a socket's may have 107, and a few are added to it
 MIN_PACKET, MAX_PACKET = 8192, 65536  # of AJP/1.3
 
 
@@ -71,6 +74,8 @@
     ajp: AjpConfig | None = None
     admin: Address | None = None  # where operators call
     agent: Address | None = None
+    passed: int | None = None  # a descriptor that listens at `listen`, kept by the platform
+    link: str | None = None  # where the process that replaces this one finds it
 
 
 # ---- values
@@ -205,13 +210,45 @@
             "sockets": limits.whole("sockets", 1024, least=64)}
 
 
+def _link(name: str, environment: Mapping[str, str]) -> str | None:
+    """A path in $TMPDIR, short enough for a socket whatever the worker is called."""
+    folder = environment.get("TMPDIR")
+    if not folder or not Path(folder).is_dir():
+        return None
+    path = str(Path(folder, f"ochrehoist-{sha256(name.encode()).hexdigest()[:12]}"))
+    return path if len(path) < MAX_LINK else None
+
+
+def _passed(environment: Mapping[str, str], address: Address) -> int | None:
+    """The descriptor named, checked: a TCP socket that listens at the address."""
+    text = environment.get("EDGE_PASSED_SOCKET")
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit() and len(text) < 10):
+        raise BadInput(f"setting EDGE_PASSED_SOCKET: not a descriptor: {text!r}")
+    try:
+        sock = socket.socket(fileno=int(text))
+    except OSError as error:
+        raise BadInput(f"setting EDGE_PASSED_SOCKET: {text}: {error}") from None
+    try:
+        listens = sock.family == socket.AF_INET and sock.type == socket.SOCK_STREAM \
+            and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        at = sock.getsockname() if listens else None
+    finally:
+        sock.detach()
+    if not listens or (address[1] and at != address):
+        raise BadInput(f"setting EDGE_PASSED_SOCKET: {text}: does not listen at {address[0]}:{address[1]}")
+    return int(text)
+
+
 def load_appliance(path: str, environment: Mapping[str, str]) -> Config:
     """An appliance of its own: AJP in front, AJP servers behind."""
     top = _toml(path, "OCHREHOIST_AJP")
     if environment.get("EDGE_ADMIN"):
         top.data["admin"] = environment["EDGE_ADMIN"]
     common = _common(top, secrets.randbits(64))
-    return Config(**common, admin=_address(top, "admin", True), **_second_front(top, common["settings"]))
+    return Config(**common, admin=_address(top, "admin", True), link=_link(common["name"], environment),
+                  **_second_front(top, common["settings"]))
 
 
 def load_platform(path: str, environment: Mapping[str, str]) -> Config:
@@ -229,7 +266,9 @@
             top.data[key] = environment[variable]
     common = _common(top, _seed(top))
     second = environment.get("OCHREHOIST_AJP")
-    return Config(**common, listen=_required(top, "listen"), kernel=_required(top, "kernel"),
+    listen = _required(top, "listen")
+    return Config(**common, listen=listen, passed=_passed(environment, listen),
+                  link=_link(common["name"], environment), kernel=_required(top, "kernel"),
                   members=_address(top, "members"), admin=_address(top, "admin"),
                   **(_second_front(_toml(second, "OCHREHOIST_AJP"), common["settings"]) if second else {}))
 
@@ -255,7 +294,7 @@
 
 def taken_over(old: Config, new: Config) -> tuple[Config, list[str]]:
     """The old configuration with what can change in a running worker, and the keys that differ but can't."""
-    differing = _differing(old, new) - {"seed", "ajp"}  # the seed was used up at the start
+    differing = _differing(old, new) - {"seed", "ajp", "link", "passed"}  # used up at the start
     for key in LIVE & differing:  # a part that was not started has nothing to hand the address to
         if None not in (getattr(old, key), getattr(new, key)):
             differing.remove(key)
--- /dev/null
+++ b/ochrehoist/core/forwarder.py
@@ -0,0 +1,150 @@
+"""What is left of a core whose state another process has taken over: it passes on what it is posted.
+
+The requests it read stay here, with their payloads and ways back. The other process decides; this one runs
+what it is told to run, answers as it is told, and tells how runs end.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from ochrehoist import interface as i
+from ochrehoist.core.figures import Figures
+from ochrehoist.core.handover import DetailCodec, Line, Send, request_line, result_from, result_line
+from ochrehoist.core.requests import Arrived, Ended, Gone, Inbound, Message, Reason, Result, Standby
+
+LATE = 25_000_000  # ns past its due time after which a request is answered here, whatever the other does
+
+
+class Forwarder:
+    def __init__(self, pending: dict[str, Inbound], send: Send, codec: DetailCodec, figures: Figures,
+                 clock: Callable[[], int], wall: Callable[[], int], log: Any) -> None:
+        self.pending, self.codec, self.figures, self.log = pending, codec, figures, log
+        self.clock, self.wall = clock, wall
+        self.send: Send | None = send  # None: the other process is gone
+        self.over: dict[str, Ended] = {}  # runs that have ended, whose answer is still to be told
+
+    @property
+    def owed(self) -> int:
+        return sum(not r.answered for r in self.pending.values())
+
+    # ---- what this process's own parts post
+    def take(self, message: Message) -> None:
+        if isinstance(message, Arrived):
+            self._arrived(message.request)
+        elif isinstance(message, Gone):
+            r = self.pending.get(message.id)
+            if r is not None:
+                r.answered = True
+                self._tell({"m": "gone", "id": r.id, "gave_up": message.gave_up})
+                self._let_go(r)
+        elif isinstance(message, Ended):
+            self._ended(message)
+        elif isinstance(message, Standby):
+            self._tell({"m": "standby", "on": message.on})
+        # Gauges, alarms, joined repeats and the notice to leave concern the one that decides.
+
+    def _tell(self, line: Line) -> None:
+        if self.send is not None:
+            self.send(line)
+
+    def _arrived(self, r: Inbound) -> None:
+        now = self.clock()
+        r.due = max(now, now - max(0, self.wall() - r.arrived) + r.cls.deadline)
+        if r.id in self.pending or self.send is None:
+            # Whether a filing has run is known only to the other process: no refusal can be given.
+            r.answered = True
+            return self._answer(r, "errored_total", lambda: r.responder.failed(Reason.INTERNAL))
+        self.pending[r.id] = r
+        self._tell({"m": "arrived"} | request_line(r, r.arrived))
+
+    def _ended(self, m: Ended) -> None:
+        r = self.pending.get(m.id)
+        if r is None:
+            return
+        self._tell({"m": "ended", "id": m.id, "result": result_line(m.result, self.codec), "took": m.took})
+        if self.send is None and not r.answered:
+            self._finish(r, m.result)
+        self.over[m.id] = m
+        self._let_go(r)
+
+    # ---- what the other process decides
+    def hear(self, line: Line) -> None:
+        kind, r = line["m"], self.pending.get(line.get("id"))
+        if kind == "start":
+            return self._start(line["id"], r)
+        if r is None or r.answered:
+            return
+        if kind == "served":
+            self._finish(r, result_from(line["result"], self.codec))
+        elif kind == "refused":
+            r.answered = True
+            self._answer(r, "deferred_total", lambda: r.responder.refused(line["backoff"], line["no_retry"]))
+        elif kind == "failed":
+            result = None if line["result"] is None else result_from(line["result"], self.codec)
+            r.answered = True
+            self._answer(r, "errored_total", lambda: r.responder.failed(Reason[line["reason"]], result))
+        self._let_go(r)
+
+    def _start(self, request_id: str, r: Inbound | None) -> None:
+        if r is None or r.started:  # its caller has left: nothing is begun
+            if r is None:
+                moot = result_line(Result(i.Outcome.MOOT), self.codec)
+                self._tell({"m": "ended", "id": request_id, "result": moot, "took": 0})
+            return
+        r.started = True
+        if not r.remote:
+            self.figures.count("sends_total", r.cls.name)
+        try:
+            r.executor.start(r)
+        except Exception:
+            self.log.exception("a run could not be started", id=r.id)
+            self.take(Ended(r.id, Result(i.Outcome.FAILED), 0))
+
+    def lost(self) -> None:
+        """The other process is gone. What runs here is answered when it ends; nothing else will be begun."""
+        self.send = None
+        for r in list(self.pending.values()):
+            if r.answered:
+                continue
+            ended = self.over.get(r.id)
+            if ended is not None:
+                self._finish(r, ended.result)
+            elif not r.started:
+                self._fail(r, Reason.INTERNAL)
+            self._let_go(r)
+
+    def tick(self) -> None:
+        now = self.clock()
+        for r in list(self.pending.values()):
+            if not r.answered and r.due + LATE <= now:
+                self.log.warning("answered without the process that decides", id=r.id)
+                self._fail(r, Reason.GIVEN_UP)
+                self._tell({"m": "gone", "id": r.id, "gave_up": False})
+                self._let_go(r)
+
+    # ---- answers
+    def _finish(self, r: Inbound, result: Result) -> None:
+        r.answered = True
+        if result.outcome is i.Outcome.OK:
+            self._answer(r, "answered_total", lambda: r.responder.served(result))
+        else:
+            self._answer(r, "errored_total", lambda: r.responder.failed(Reason.EXECUTOR, result))
+
+    def _fail(self, r: Inbound, reason: Reason) -> None:
+        r.answered = True
+        self._answer(r, "errored_total", lambda: r.responder.failed(reason))
+
+    def _answer(self, r: Inbound, figure: str, send: Callable[[], bool | None]) -> None:
+        try:
+            if send() is False:
+                figure = "errored_total"
+            if not r.remote:
+                self.figures.count(figure, r.cls.name)
+        except Exception:
+            self.log.exception("an answer could not be sent", id=r.id)
+
+    def _let_go(self, r: Inbound) -> None:
+        """What is answered and does not run is of no more concern here."""
+        if r.answered and (not r.started or r.id in self.over):
+            self.pending.pop(r.id, None)
+            self.over.pop(r.id, None)
--- /dev/null
+++ b/ochrehoist/core/handover.py
@@ -0,0 +1,252 @@
+"""One core's state, as another core can take it up: in the process that follows, or after new settings.
+
+All of it is plain JSON, one object a line. Times are in ns of the clock that all processes here share.
+What the results of executors carry for their own front (`detail`) is put into JSON by a codec of that side.
+"""
+
+import base64
+import math
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import asdict, dataclass, field, replace
+from typing import Any, Protocol
+
+from ochrehoist import interface as i
+from ochrehoist.core.keys import KeyTable, Run
+from ochrehoist.core.requests import Fingerprint, Inbound, KeyId, Reason, Result
+from ochrehoist.rules import AdmissionController
+
+VERSION = 1
+MEANS = ("latency", "bad_calls", "retries", "turned", "unread")
+Line = dict[str, Any]
+Send = Callable[[Line], bool | None]  # False where the other process is gone
+
+
+class Unusable(Exception):
+    """The state can't be taken up; the text says what is wrong."""
+
+
+class DetailCodec(Protocol):
+    """Puts the `detail` of a result into JSON and back."""
+
+    def to_json(self, detail: Any) -> Any: ...
+
+    def from_json(self, data: Any) -> Any: ...
+
+
+# ---- values
+def _bytes(data: bytes | None) -> str | None:
+    return None if data is None else base64.b64encode(data).decode()
+
+
+def _from_text(text: str | None) -> bytes | None:
+    return None if text is None else base64.b64decode(text, validate=True)
+
+
+def _fingerprint(value: Fingerprint | None) -> list | None:
+    return None if value is None else [_bytes(value[0]), _bytes(value[1])]
+
+
+def _from_fingerprint(data: list | None) -> Fingerprint | None:
+    return None if data is None else (_from_text(data[0]), _from_text(data[1]))
+
+
+def _token(data: list | None) -> KeyId | None:
+    if data is None:
+        return None
+    tenant, kind, text = data
+    return tenant, kind, text
+
+
+def result_line(result: Result, codec: DetailCodec) -> Line:
+    return {"outcome": result.outcome.name, "body": _bytes(result.body), "success": result.success,
+            "detail": codec.to_json(result.detail), "detail_bytes": result.detail_bytes}
+
+
+def result_from(data: Line, codec: DetailCodec) -> Result:
+    return Result(i.Outcome[data["outcome"]], _from_text(data["body"]), codec.from_json(data["detail"]),
+                  int(data["detail_bytes"]), bool(data["success"]))
+
+
+def class_line(cls: i.RequestClass) -> Line:
+    return asdict(cls) | {"repeat": cls.repeat.name}
+
+
+def class_from(data: Line) -> i.RequestClass:
+    return i.RequestClass(**data | {"repeat": i.Repeat[data["repeat"]]})
+
+
+AS_THEY_ARE = ("id", "tenant", "key", "work", "memory_kb", "rank", "retry", "write", "caller", "started",
+               "answered")
+
+
+def request_line(r: Inbound, arrived: int) -> Line:
+    """All but what stays with the process that read it: its payload, the way back, and what runs it."""
+    return {name: getattr(r, name) for name in AS_THEY_ARE} | {
+        "cls": class_line(r.cls), "arrived": arrived, "token": r.token,
+        "fingerprint": _fingerprint(r.fingerprint)}
+
+
+def request_from(data: Line, far: "Remote", classes: dict[str, i.RequestClass]) -> Inbound:
+    known = classes.get(data["cls"]["name"])
+    return Inbound(cls=known or class_from(data["cls"]), arrived=int(data["arrived"]), payload=None,
+                   responder=far, executor=far, token=_token(data["token"]),
+                   fingerprint=_from_fingerprint(data["fingerprint"]), remote=True,
+                   **{name: data[name] for name in AS_THEY_ARE})
+
+
+class Remote:
+    """Responder and Executor of a request that another process read: that one answers it, and runs it."""
+
+    def __init__(self, request_id: str, send: Send, codec: DetailCodec) -> None:
+        self.id, self.send, self.codec = request_id, send, codec
+
+    def served(self, result: Result) -> bool:
+        self.send({"m": "served", "id": self.id, "result": result_line(result, self.codec)})
+        return True
+
+    def refused(self, backoff: int, no_retry: bool) -> None:
+        self.send({"m": "refused", "id": self.id, "backoff": backoff, "no_retry": no_retry})
+
+    def failed(self, reason: Reason, result: Result | None = None) -> None:
+        self.send({"m": "failed", "id": self.id, "reason": reason.name,
+                   "result": None if result is None else result_line(result, self.codec)})
+
+    def start(self, request: Inbound) -> None:
+        if self.send({"m": "start", "id": self.id}) is False:
+            raise ConnectionError("the process that read it is gone")
+
+
+# ---- what the module learned, by the names of classes and tenants
+def learned(c: AdmissionController) -> Line:
+    names, now = [x.name for x in (*c.s.classes, *c.s.tenants)], c.now
+    return {
+        "took": {cls.name: [t.value, t.weight] for cls, t in zip(c.s.classes, c.took, strict=True)},
+        "ran": {t.name: rate for t, rate in zip(c.s.tenants, c.ran, strict=True)},
+        "asked": [*zip(names, c.asked, strict=True)], "served": [*zip(names, c.served, strict=True)],
+        "means": {name: [mean.value, mean.weight] for name in MEANS for mean in (getattr(c, name),)},
+        "curve": [c.s.cores, c.curve.crowd, c.curve.base, c.curve.time, c.curve.done],
+        "floor": c.floor, "sent": c.sent,
+        "heard": [[caller, now - at] for caller, at in c.heard.items()],
+        "left": [[caller, list(ages)] for caller, ages in c.left.items()],
+        "patience": [[caller, lasts, until - now] for caller, (lasts, until) in c.patience.items()]}
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise Unusable(f"not a number: {value!r}")
+    return value
+
+
+def teach(c: AdmissionController, data: Line, now: int) -> None:
+    """Sets in a fresh module what another one learned; what it does not know by name stays as it is."""
+    names = [x.name for x in (*c.s.classes, *c.s.tenants)]
+    counts = {which: {name: _number(value) for name, value in data[which]} for which in ("asked", "served")}
+    heard = {int(caller): now - int(age) for caller, age in data["heard"]}
+    left = {int(caller): [int(age) for age in ages] for caller, ages in data["left"]}
+    patience = {int(caller): (int(lasts), now + int(rest)) for caller, lasts, rest in data["patience"]}
+    cores, crowd, base, time, done = data["curve"]
+    if (cores, crowd) == (c.s.cores, c.curve.crowd) and len(time) == len(c.curve.time) == len(done):
+        c.curve.base = max(1e-9, _number(base))
+        c.curve.time, c.curve.done = [_number(v) for v in time], [_number(v) for v in done]
+        c.floor = max(c.s.cores, min(c.curve.crowd, int(data["floor"])))
+    c.sent = _number(data["sent"])
+    for mean, (value, weight) in [
+            *((c.took[at], data["took"][cls.name]) for at, cls in enumerate(c.s.classes)
+              if cls.name in data["took"]),
+            *((getattr(c, name), data["means"][name]) for name in MEANS if name in data["means"])]:
+        mean.value, mean.weight, mean.at = _number(value), _number(weight), now
+    c.ran = [_number(data["ran"].get(t.name, rate)) for t, rate in zip(c.s.tenants, c.ran, strict=True)]
+    for which, known in counts.items():
+        setattr(c, which, [known.get(name, old) for name, old in zip(names, getattr(c, which), strict=True)])
+    c.heard, c.patience = heard, patience
+    c.left = {caller: deque(ages, maxlen=LEFT) for caller, ages in left.items()}
+
+
+LEFT = 12  # as many as the module keeps of each caller
+
+
+# ---- the whole state
+@dataclass
+class State:
+    """What one core hands to another."""
+
+    learned: Line | None = None
+    standby: bool = False
+    requests: list[Inbound] = field(default_factory=list)
+    keys: KeyTable | None = None
+    classes: dict[str, i.RequestClass] = field(default_factory=dict)  # of what it holds, by name
+
+
+def lines(state: State, offset: int, codec: DetailCodec) -> Iterator[Line]:
+    """The state as lines; `offset` is what the core's clock has over the one that all processes share."""
+    yield {"m": "state", "version": VERSION, "learned": state.learned, "standby": state.standby}
+    for token, run in state.keys.runs.items():
+        yield {"m": "run", "token": token, "id": run.id, "window_end": run.window_end - offset,
+               "fingerprint": _fingerprint(run.fingerprint), "dropped": run.dropped,
+               "result": None if run.result is None else result_line(run.result, codec)}
+    for token, (holder, until, known) in state.keys.entries.items():
+        yield {"m": "entry", "token": token, "holder": holder, "until": until - offset,
+               "fingerprint": _fingerprint(known)}
+    for r in state.requests:
+        yield {"m": "request"} | request_line(r, r.arrived - offset)
+    for cls in state.classes.values():
+        yield {"m": "class"} | class_line(cls)
+    yield {"m": "end"}
+
+
+class Receiver:
+    """Builds a State of lines, and checks each; it is whole once `done`."""
+
+    def __init__(self, offset: int, classes: dict[str, i.RequestClass], max_bytes: int, overhead: int,
+                 send: Send, codec: DetailCodec) -> None:
+        self.offset, self.classes, self.send, self.codec = offset, classes, send, codec
+        self.overhead, self.done = overhead, False
+        self.state = State(keys=KeyTable(0, max_bytes))
+
+    def line(self, data: Line) -> None:
+        try:
+            self._line(data)
+        except Unusable:
+            raise
+        except Exception as error:
+            raise Unusable(f"a line of the state: {error!r}") from error
+
+    def _line(self, data: Line) -> None:
+        kind, state = data["m"], self.state
+        if kind == "state":
+            if data["version"] != VERSION:
+                raise Unusable(f"another version of the state: {data['version']}")
+            state.learned, state.standby = data["learned"], bool(data["standby"])
+        elif kind == "run":
+            token = _token(data["token"])
+            run = Run(data["id"], int(data["window_end"]) + self.offset,
+                      _from_fingerprint(data["fingerprint"]), dropped=bool(data["dropped"]))
+            state.keys.runs[token] = run
+            if data["result"] is not None:
+                result = result_from(data["result"], self.codec)
+                size = len(result.body) + result.detail_bytes + self.overhead
+                state.keys.ended(token, run.id, result, size)
+        elif kind == "entry":
+            state.keys.keep(_token(data["token"]), data["holder"], int(data["until"]) + self.offset,
+                            _from_fingerprint(data["fingerprint"]))
+        elif kind == "request":
+            far = Remote(data["id"], self.send, self.codec)
+            r = request_from(data, far, self.classes)
+            r.arrived += self.offset
+            state.requests.append(r)
+        elif kind == "class":
+            state.classes[data["name"]] = class_from({k: v for k, v in data.items() if k != "m"})
+        elif kind == "end":
+            if state.learned is not None and not isinstance(state.learned, dict):
+                raise Unusable("no learned means")
+            self.done = True
+        else:
+            raise Unusable(f"an unknown line {kind!r}")
+
+
+def settings_with(settings: i.Settings, state: State) -> i.Settings:
+    """The settings, and behind their classes those that are gone but have requests or keys in the state."""
+    known = {c.name for c in settings.classes}
+    gone = [c for name, c in state.classes.items() if name not in known]
+    return replace(settings, classes=settings.classes + tuple(gone))
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -10,7 +10,9 @@
 from typing import Any
 
 from ochrehoist import interface as i
+from ochrehoist.core import handover
 from ochrehoist.core.figures import Figures
+from ochrehoist.core.forwarder import Forwarder
 from ochrehoist.core.keys import KeyTable
 from ochrehoist.core.requests import (
     Arrived,
@@ -26,6 +28,7 @@
     Reason,
     Result,
     Standby,
+    TakenOver,
     Waker,
 )
 from ochrehoist.rules import AdmissionController
@@ -35,6 +38,7 @@
 RING_WAIT = 25 * MS  # an alarm rings so long after it fell due at the latest, with or without fresh gauges
 REARM = 100 * MS  # alarms go on after a fault in the module
 LAST_CALL = 150 * MS  # before the process is stopped, whatever is still open is failed
+STAND = 0.01  # s between looks at what falls due while another process decides
 RESULT_OVERHEAD = 600  # bytes that one remembered run takes beyond its result
 
 
@@ -54,6 +58,7 @@
         self.listeners: list[Listener] = []
         self.live: dict[str, Inbound] = {}  # owed an answer, or still running
         self.owed = 0
+        self.result_bytes = result_bytes
         self.keys = KeyTable(slack=max(c.deadline for c in settings.classes) + SECOND, max_bytes=result_bytes)
         self.alarms: list[tuple[int, int]] = []
         self.backstops: list[tuple[int, str]] = []  # when each request must have been answered
@@ -67,22 +72,47 @@
         self.leave_at: int | None = None
         self.stop_at: int | None = None
         self.figures = Figures(c.name for c in settings.classes)
-        self._index()
+        self._index(settings)
         self.swept = 0
-
-    def _index(self) -> None:
-        """Positions in the settings by name: only the module's events speak of positions."""
-        self.kinds = {c.name: at for at, c in enumerate(self.settings.classes)}
-        self.tenants = {t.name: at for at, t in enumerate(self.settings.tenants)}
+        # Replacing the process: what asks the one before this for its state, once this one is up; whether
+        # this core stands still while the next one takes its state; and what it then is reduced to.
+        self.predecessor: Callable[[], None] | None = None
+        self.booted: Booted | None = None
+        self.frozen = False
+        self.forwarder: Forwarder | None = None
+        self.inherited_standby = False
+
+    def _index(self, settings: i.Settings) -> None:
+        """Positions in the module's settings by name: only its events speak of positions.
+
+        Behind the classes of the settings there may be some that are gone and still have requests or keys.
+        """
+        self.kinds = {c.name: at for at, c in enumerate(settings.classes)}
+        self.tenants = {t.name: at for at, t in enumerate(settings.tenants)}
+        self.served_classes = {c.name for c in self.settings.classes}
 
     @property
     def ready(self) -> bool:
-        """Whether the module is up, and this worker is to get requests."""
-        return self.controller is not None and self.healthy
+        """Whether this process is to serve: its module is up and well, and nobody has sent it away.
+
+        One that took over on standby is ready to take the place of the old one, or it would never be let go.
+        """
+        if self.controller is None or self.leave_at is not None or self.forwarder is not None:
+            return False
+        return self.module_good and (not self.standby or self.inherited_standby)
+
+    @property
+    def current(self) -> int:
+        """Requests that this process took and has not answered."""
+        if self.forwarder is not None:
+            return sum(not r.remote and not r.answered for r in self.forwarder.pending.values())
+        return self.owed - sum(r.remote and not r.answered for r in self.live.values())
 
     @property
     def state(self) -> str:
         """In a word, for operators."""
+        if self.forwarder is not None:
+            return "replaced"
         if self.leave_at is not None:
             return "leaving"
         if self.controller is None:
@@ -100,20 +130,28 @@
 
     def step(self) -> None:
         """Takes all that waits in the inbox and all that has fallen due."""
-        while self.inbox:
+        while self.inbox and not self.frozen:
             self._tick()
             message = self.inbox.popleft()
             try:
+                if self.forwarder is not None:
+                    self.forwarder.take(message)
+                    continue
                 self.TAKES[type(message)](self, message)
             except Exception:  # a fault of ours must not end the process: the backstop answers what is open
                 self.log.exception("fault in the core", message=type(message).__name__)
         self._tick()
-        self._fall_due()
+        if self.forwarder is not None:
+            self.forwarder.tick()
+        elif not self.frozen:
+            self._fall_due()
 
     def _tick(self) -> None:
         self.now = max(self.now, self.clock())
 
     def _timeout(self) -> float | None:
+        if self.frozen or self.forwarder is not None:
+            return 0.0 if self.inbox and not self.frozen else STAND
         if self.inbox:
             return 0.0
         times = [heap[0][0] for heap in (self.alarms, self.backstops) if heap]
@@ -123,12 +161,106 @@
 
     # ---- messages
     def _booted(self, m: Booted) -> None:
-        if self.controller is not None:
+        if self.controller is not None or self.booted is not None:
             return
-        settings = self.settings if m.cold is None else replace(self.settings, just_started=m.cold)
+        self.booted = m
+        if self.predecessor is not None:  # it may have keys: nothing is decided before they are here
+            self.predecessor()
+        else:
+            self._boot(self.settings)
+
+    def _boot(self, settings: i.Settings) -> None:
+        """A fresh module for these settings."""
+        m, self.alarms, self.ringing = self.booted, [], None
+        self._index(settings)
+        if m.cold is not None:
+            settings = replace(settings, just_started=m.cold)
         self.controller = AdmissionController(settings, self.seed)
         self._handle(i.Started(), at=self.now - m.age)
 
+    # ---- replacing the process: the old one's side
+    def freeze(self) -> handover.State:
+        """Stands still, so that what is handed over is what the other process goes on from."""
+        self.frozen = True
+        requests = list(self.live.values())
+        learned = handover.learned(self.controller) if self.controller is not None else None
+        classes = {c.name: c for c in self.controller.s.classes} if self.controller is not None else {}
+        return handover.State(learned, self.standby, requests, self.keys, classes)
+
+    def thaw(self) -> None:
+        """The other process did not say yes: all goes on from where it stood."""
+        self.frozen = False
+        self.waker.set()
+
+    def hand_over(self, send: handover.Send, codec: handover.DetailCodec) -> Forwarder:
+        """From now on the other process decides."""
+        self.forwarder = Forwarder(dict(self.live), send, codec, self.figures, self.clock, self.wall,
+                                   self.log)
+        self.controller, self.live = None, {}
+        self.keys = KeyTable(0, 0)  # its memory is the other's to use
+        self.thaw()
+        return self.forwarder
+
+    # ---- the new one's side
+    def _taken_over(self, m: TakenOver) -> None:
+        """Goes on from the state of the process before this one, or from nothing."""
+        self.predecessor = None
+        if self.controller is not None:
+            return
+        state: handover.State | None = m.state
+        if state is None:
+            return self._boot(self.settings)
+        self.standby = self.inherited_standby = state.standby
+        self._take_up(state)
+        self._judge()
+
+    def _take_up(self, state: handover.State) -> None:
+        """A fresh module that knows what was begun, what is held, and what was learned."""
+        state.keys.slack = max(c.deadline for c in (*self.settings.classes, *state.classes.values())) + SECOND
+        self.keys, self.live, self.owed = state.keys, {}, 0
+        self._boot(handover.settings_with(self.settings, state))
+        begun = {r.id: r for r in state.requests if r.started}
+        for token, run in self.keys.runs.items():
+            run.waiters = []  # each is told of anew below
+            if run.id not in begun and token[1] in self.kinds:
+                cls = self.controller.s.classes[self.kinds[token[1]]]
+                since = max(0, self.now - (run.window_end - cls.window))
+                self._handle(i.Adopted(i.Request(run.id, self.kinds[token[1]], unread_for=since), True, True))
+        for r in begun.values():
+            self.live[r.id] = r
+            self._owe(r)
+            self._handle(i.Adopted(self._event(r), r.answered, False))
+        self._teach(state.learned)
+        held = [r for r in state.requests if not r.started and not r.answered]
+        for r in sorted(held, key=lambda r: r.arrived):
+            self.live[r.id] = r
+            self._owe(r)
+            self._handle(self._event(r))
+        self._teach(state.learned)  # what was held is no news of how long requests wait to be read
+
+    def _teach(self, learned: dict | None) -> None:
+        try:
+            if learned is not None:
+                handover.teach(self.controller, learned, self.now)
+        except Exception:  # it learns anew
+            self.log.exception("what was learned can't be taken up")
+
+    def _owe(self, r: Inbound) -> None:
+        if not r.answered:
+            self.owed += 1
+            r.due = max(self.now, r.arrived + r.cls.deadline)
+            if self.stop_at is not None:
+                r.due = min(r.due, self.stop_at - LAST_CALL)
+            heappush(self.backstops, (r.due, r.id))
+
+    def _event(self, r: Inbound) -> i.Request:
+        original = self.keys.original(r.token, r.arrived) if r.token else None
+        return i.Request(
+            id=r.id, kind=self.kinds[r.cls.name], tenant=self.tenants.get(r.tenant), key=r.key, work=r.work,
+            memory_kb=r.memory_kb, rank=r.rank, retry=r.retry, write=r.write, caller=r.caller,
+            unread_for=max(0, self.now - r.arrived), original=original)
+
+    # ---- messages
     def _arrived(self, m: Arrived) -> None:
         r = m.request
         if self.controller is None:  # nothing ran: the module is not up
@@ -138,23 +270,18 @@
         # Told by the Unix clock, which may have been set since the start: only its distance from now counts.
         # A time to come would put off the due time, and the window.
         r.arrived = self.now - max(0, self.wall() - r.arrived)
-        r.due = max(self.now, r.arrived + r.cls.deadline)
         if r.arrived + r.cls.deadline <= self.now:
             # Its caller has given up. The module would take so long a wait for what all others wait now.
             return self._turn_away(r, Reason.GIVEN_UP)
-        if self.stop_at is not None:
-            r.due = min(r.due, self.stop_at - LAST_CALL)
         if r.token is not None and not self.keys.same(r.token, r.arrived, r.fingerprint):
             # The result of the other filing would be taken for this one's, and this one lost unseen.
             return self._turn_away(r, Reason.OTHER_CONTENT)
+        if r.cls.name not in self.served_classes and \
+                (r.token is None or self.keys.original(r.token, r.arrived) is None):
+            return self._turn_away(r)  # its class is gone, and no other try of it can have run
         self.live[r.id] = r
-        self.owed += 1
-        heappush(self.backstops, (r.due, r.id))
-        original = self.keys.original(r.token, r.arrived) if r.token else None
-        self._handle(i.Request(
-            id=r.id, kind=self.kinds[r.cls.name], tenant=self.tenants.get(r.tenant), key=r.key, work=r.work,
-            memory_kb=r.memory_kb, rank=r.rank, retry=r.retry, write=r.write, caller=r.caller,
-            unread_for=max(0, self.now - r.arrived), original=original))
+        self._owe(r)
+        self._handle(self._event(r))
 
     def _gone(self, m: Gone) -> None:
         r = self.live.get(m.id)
@@ -216,13 +343,14 @@
         self._judge()
 
     def _stood_by(self, m: Standby) -> None:
+        self.inherited_standby = False
         if m.on != self.standby:
             self.standby = m.on
             self.log.info("standby" if m.on else "active", in_hand=self.owed)
             self._judge()
 
     TAKES = {Booted: _booted, Arrived: _arrived, Gone: _gone, Ended: _ended, Joined: _joined,
-             Gauges: _measured, Leaving: _leaving, Standby: _stood_by}
+             Gauges: _measured, Leaving: _leaving, Standby: _stood_by, TakenOver: _taken_over}
 
     # ---- time
     def _fall_due(self) -> None:
@@ -291,7 +419,8 @@
         try:
             if send() is False:
                 figure = "errored_total"
-            self.figures.count(figure, r.cls.name)
+            if not r.remote:
+                self.figures.count(figure, r.cls.name)
         except Exception:
             self.log.exception("an answer could not be sent", id=r.id)
 
@@ -312,7 +441,8 @@
                 return self.post(Ended(r.id, Result(i.Outcome.FAILED), 0))
             self.keys.started(r.token, r.id, r.arrived + r.cls.window, r.fingerprint)
         r.started = True
-        self.figures.count("sends_total", r.cls.name)
+        if not r.remote:
+            self.figures.count("sends_total", r.cls.name)
         try:
             r.executor.start(r)
         except Exception:
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -91,6 +91,7 @@
     joined_at: int = 0
     answered: bool = False  # or the caller has gone: no answer is owed
     started: bool = False
+    remote: bool = False  # read by another process, which answers it, counts it and runs it
 
 
 # ---- what other tasks post to the owner
@@ -147,4 +148,11 @@
     on: bool
 
 
-Message = Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby
+@dataclass(slots=True)
+class TakenOver:
+    """How asking the process before this one ended: its state, or None where there is none to take."""
+
+    state: Any
+
+
+Message = Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby | TakenOver
--- a/ochrehoist/interface.py
+++ b/ochrehoist/interface.py
@@ -156,6 +156,15 @@
     original: str | None = None
 
 
+@dataclass(slots=True)
+class Adopted:
+    """A request that the instance before this one started, and that may be over: it is never started here."""
+
+    request: Request
+    answered: bool
+    over: bool
+
+
 @dataclass(slots=True)
 class Completed:
     id: str
@@ -192,7 +201,7 @@
     remaining: int
 
 
-Event = Started | Request | Completed | CallNeeded | CallEnded | CallerGone | Alarm | Leave
+Event = Started | Request | Adopted | Completed | CallNeeded | CallEnded | CallerGone | Alarm | Leave
 
 
 # ---- actions
--- a/ochrehoist/net/agent.py
+++ b/ochrehoist/net/agent.py
@@ -24,9 +24,10 @@
 class AgentCheck(Service):
     """Says one line to whoever connects, and closes. What the checker may send first is passed over."""
 
-    def __init__(self, loop: Loop, owner: Owner, address: tuple[str, int], log: Any) -> None:
+    def __init__(self, loop: Loop, owner: Owner, address: tuple[str, int], log: Any,
+                 sock: socket.socket | None = None) -> None:
         self.owner = owner
-        super().__init__(loop, address, log)
+        super().__init__(loop, address, log, sock)
 
     def serve(self, stream: Stream) -> None:
         stream.write(agent_line(self.owner))
--- a/ochrehoist/net/ajp.py
+++ b/ochrehoist/net/ajp.py
@@ -153,6 +153,18 @@
     body: bytes = b""
 
 
+class ReplyCodec:
+    """What a result of an AJP server carries for an AJP client, in JSON: for a process that takes over."""
+
+    def to_json(self, detail: object) -> dict | None:
+        if not isinstance(detail, Reply):
+            return None
+        return {"status": detail.status, "headers": detail.headers.hex()}
+
+    def from_json(self, data: dict | None) -> Reply | None:
+        return None if data is None else Reply(int(data["status"]), bytes.fromhex(data["headers"]))
+
+
 def reply(payload: bytes) -> Reply:
     c = Cursor(payload, 1)
     status = c.u16()
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -2,6 +2,7 @@
 
 import hmac
 import itertools
+import secrets
 import socket
 import time
 from collections.abc import Callable
@@ -48,6 +49,7 @@
         self.owner, self.executor = owner, executor
         self.configure(config, owner.settings)
         self.ids = itertools.count(1)
+        self.process = secrets.token_hex(4)  # ids must differ from those of a process that this one replaces
 
     def configure(self, config: AjpConfig, settings: Settings) -> None:
         self.config = config
@@ -93,7 +95,7 @@
         cls, tenant, token = checked
         retry = f.headers.get(self.config.retry_header, b"")
         return Inbound(
-            id=f"ajp-{next(self.ids)}", cls=cls, arrived=arrived, payload=AjpPayload(f, body),
+            id=f"ajp-{self.process}-{next(self.ids)}", cls=cls, arrived=arrived, payload=AjpPayload(f, body),
             responder=responder, executor=self.executor, tenant=tenant,
             token=(tenant, cls.name, token) if token else None,
             fingerprint=(sha256(f"{f.method} ".encode() + f.uri).digest(), sha256(body).digest())
@@ -275,13 +277,14 @@
     """Listens for AJP. It is a Listener of the core."""
 
     def __init__(self, loop: Loop, owner: Owner, executor: Executor, config: AjpConfig, max_connections: int,
-                 max_bytes: int, log: Any) -> None:
+                 max_bytes: int, log: Any, sock: socket.socket | None = None) -> None:
         self.loop, self.owner, self.config, self.log = loop, owner, config, log
         self.max_bytes = max_bytes  # for all bodies coming in, and as much for all responses not yet sent
         self.reader = AjpReader(owner, executor, config)
         self.connections: set[AjpConnection] = set()
         self.draining = False
-        self.listening = Listening(loop, config.listen, self._accepted, max_connections, log, self._make_room)
+        self.listening = Listening(loop, config.listen, self._accepted, max_connections, log, sock,
+                                   self._make_room)
 
     def configure(self, config: AjpConfig) -> None:
         self.config = config
@@ -317,6 +320,10 @@
     def leaving(self, remaining: int) -> None:
         self.draining = True
 
+    def retire(self) -> None:
+        """Another process takes what comes from now on."""
+        self.draining = True
+
     def end_idle(self) -> None:
         for c in list(self.connections):
             if not c.in_hand and not c.stream.buffer:
--- a/ochrehoist/net/kernel.py
+++ b/ochrehoist/net/kernel.py
@@ -10,6 +10,7 @@
 import json
 import math
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
@@ -62,6 +63,7 @@
         self.running: dict[str, Run] = {}
         self.asked = 0
         self.questions: dict[str, float] = {}  # gauges asked for on this link, and when
+        self.shared: Callable[[], bool] = lambda: False  # whether another process may run something there
         self.heeded = -math.inf  # the kernel has read all that was written to this link before
 
     # ---- for the core
@@ -207,7 +209,7 @@
         # nor is one over, for that would have been told first. So its command was lost, and it never ran.
         known = sum(run.given is not None and run.given <= asked and not run.doubtful
                     for run in self.running.values())
-        if runnable != known:
+        if runnable != known or self.shared():
             return
         for run in filings:
             self.log.info("a lost filing was found", id=run.request.id, answered=run.request.answered)
--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -34,16 +34,19 @@
 
 
 class Listening:
-    """`make_room` closes a connection that can be spared, where there is one, and says whether it did."""
+    """Accepts once it is started. A socket that is given listens already, perhaps for other processes too.
+
+    `make_room` closes a connection that can be spared, where there is one, and says whether it did.
+    """
 
     def __init__(self, loop: Loop, address: tuple[str, int],
                  accepted: Callable[[socket.socket], Callable[[], None]], limit: int, log: Any,
-                 make_room: Callable[[], bool] = no_room) -> None:
+                 sock: socket.socket | None = None, make_room: Callable[[], bool] = no_room) -> None:
         self.loop, self.accepted, self.limit, self.log = loop, accepted, limit, log
         self.make_room, self.retrying = make_room, False
-        self.sock = listen(address)
-        self.count, self.stopped = 0, False
-        self._resume()
+        self.sock = listen(address) if sock is None else sock
+        self.sock.setblocking(False)
+        self.count, self.stopped, self.started = 0, False, False
 
     @property
     def address(self) -> tuple[str, int]:
@@ -52,8 +55,16 @@
     def full(self) -> bool:
         return self.count >= self.limit
 
+    def start(self) -> None:
+        self.started = True
+        self._resume()
+
+    def set_limit(self, limit: int) -> None:
+        self.limit = limit
+        self._resume()
+
     def _resume(self) -> None:
-        if not self.stopped and not self.full():
+        if self.started and not self.stopped and not self.full():
             self.loop.on_readable(self.sock.fileno(), self._accept)
 
     def _accept(self) -> None:
@@ -89,10 +100,14 @@
         self.count -= 1
         self._resume()
 
-    def stop(self) -> None:
-        """Takes what has already connected, then lets go of the port."""
+    def stop(self, leave_queue: bool = False) -> None:
+        """Takes what has already connected, or leaves it to another process, then lets go of the port.
+
+        The socket is closed, never shut down: others may listen on it.
+        """
         if not self.stopped:
-            self._accept()
+            if self.started and not leave_queue:
+                self._accept()
             self.stopped = True
             self.loop.forget(self.sock.fileno())
             self.sock.close()
@@ -103,10 +118,10 @@
 
     max_open = 16  # at once: a flood of them must not take the descriptors of requests
 
-    def __init__(self, loop: Loop, address: tuple[str, int], log: Any,
+    def __init__(self, loop: Loop, address: tuple[str, int], log: Any, sock: socket.socket | None = None,
                  make_room: Callable[[], bool] = no_room) -> None:
         self.loop, self.log = loop, log
-        self.listening = Listening(loop, address, self._accepted, self.max_open, log, make_room)
+        self.listening = Listening(loop, address, self._accepted, self.max_open, log, sock, make_room)
 
     def _accepted(self, sock: socket.socket) -> Callable[[], None]:
         stream = Stream(self.loop, sock)
--- a/ochrehoist/net/members.py
+++ b/ochrehoist/net/members.py
@@ -28,9 +28,16 @@
         self.stream: Stream | None = None
         self.reachable: bool | None = None
         self.unanswered = 0
+        self.stopped = False
+
+    def stop(self) -> None:
+        """Says no more: another process of this worker reports now."""
+        self.stopped = True
+        self._close()
+        self.changed.set()
 
     def run(self) -> None:
-        while True:
+        while not self.stopped:
             address, phase, pause, written = self.address, self._phase(), RETRY, time.monotonic()
             try:
                 stream = self._connection()
@@ -44,10 +51,12 @@
                 status, good, why = 0, False, repr(error)
             if status != 204:
                 self._close()
+            if self.stopped:
+                return self._close()
             if address == self.address and good is not self.reachable:
                 self.reachable = good
                 self.log.info("membership reports", accepted=good, **({} if good else {"why": why}))
-            while address == self.address and phase == self._phase() \
+            while not self.stopped and address == self.address and phase == self._phase() \
                     and (left := written + pause - time.monotonic()) > 0:
                 self.changed.wait(left)
 
--- a/ochrehoist/net/operators.py
+++ b/ochrehoist/net/operators.py
@@ -45,10 +45,11 @@
 class Operators(Service):
     """Carries out `calls`. Each is answered in the turn of the loop in which it has come whole."""
 
-    def __init__(self, loop: Loop, address: tuple[str, int], calls: Calls, log: Any) -> None:
+    def __init__(self, loop: Loop, address: tuple[str, int], calls: Calls, log: Any,
+                 sock: socket.socket | None = None) -> None:
         self.calls = calls
         self.open: dict[Stream, float] = {}  # and since when
-        super().__init__(loop, address, log, self._make_room)
+        super().__init__(loop, address, log, sock, self._make_room)
 
     def opened(self, stream: Stream) -> None:
         self.open[stream] = time.monotonic()
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -267,14 +267,15 @@
     """Listens for routers. It is a Listener of the core: idle times and the notice to leave come by that."""
 
     def __init__(self, loop: Loop, owner: Owner, executor: Executor, address: tuple[str, int],
-                 max_connections: int, log: Any) -> None:
+                 max_connections: int, log: Any, sock: socket.socket | None = None) -> None:
         self.loop, self.owner, self.log = loop, owner, log
         self.reader = ThriftReader(owner.settings, executor)
         self.connections: set[Connection] = set()
         self.draining = False
         self.idle: float = owner.settings.idle / 1e9
         self.bad_frames, self.why, self.logged = 0, "", 0.0
-        self.listening = Listening(loop, address, self._accepted, max_connections, log, self._make_room)
+        self.listening = Listening(loop, address, self._accepted, max_connections, log, sock,
+                                   self._make_room)
         loop.call_later(0.1, self._sweep)
 
     def _accepted(self, sock: socket.socket) -> Callable[[], None]:
@@ -343,6 +344,12 @@
             if not c.open and not c.checks_only:
                 c.farewell()
 
+    def retire(self) -> None:
+        """Another process takes what comes from now on; a busy connection that is not told would not end."""
+        self.draining = True
+        for c in list(self.connections):
+            c.farewell()
+
     def end_idle(self) -> None:
         for c in list(self.connections):
             if not c.open:
--- a/ochrehoist/rules.py
+++ b/ochrehoist/rules.py
@@ -10,9 +10,10 @@
 from math import exp
 
 from ochrehoist.interface import (
-    NEVER_RAN, Advice, Advise, Alarm, Below, Call, CallEnded, CallerGone, CallNeeded, Completed, Fail, Forget,
-    Health, Join, Keep, KeepAlive, Leave, Outcome, Preemption, Refuse, Repeat, Request, SetAlarm, SkipCall,
-    Start, Started, Stop)
+    NEVER_RAN, Adopted, Advice, Advise, Alarm, Below, Call, CallEnded, CallerGone, CallNeeded, Completed,
+    Fail, Forget, Health, Join, Keep, KeepAlive, Leave, Outcome, Preemption, Refuse, Repeat, Request,
+    SetAlarm, SkipCall, Start, Started, Stop)
+
 
 S = 1_000_000_000
 BEAT = S // 10  # ns between sweeps of what falls due, advice and health: its cost grows with the fleet
@@ -205,6 +206,16 @@
                 return self._join(j)
         self._place(j)
 
+    def _on_adopted(self, e):  # started by the instance before this one: counted, and never started here
+        j = self.jobs[e.request.id] = Job(e.request, self.s.classes[e.request.kind], self.now)
+        j.ran, j.answered, j.kb = True, e.answered or e.over, j.kb * self.s.run_factor
+        self.used, self.progress = self.used + j.kb, self.now
+        self._move(j, CORE)
+        if j.kind.repeat is Repeat.KEYED:
+            self._keep(j)
+        if e.over:
+            self._end(j)
+
     def _place(self, j):
         late = self.leave_at is not None and j.arrived > self.leave_at + self.s.drain_grace
         if self.stalled or late or not self._fits(j):
@@ -534,5 +545,6 @@
             self.acts.append(Advise(value))
 
     HANDLERS = {
-        Started: _on_started, Request: _on_request, Completed: _on_completed, CallNeeded: _on_call_needed,
-        CallEnded: _on_call_ended, CallerGone: _on_gone, Alarm: _on_alarm, Leave: _on_leave}
+        Started: _on_started, Request: _on_request, Adopted: _on_adopted, Completed: _on_completed,
+        CallNeeded: _on_call_needed, CallEnded: _on_call_ended, CallerGone: _on_gone, Alarm: _on_alarm,
+        Leave: _on_leave}
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -441,12 +441,17 @@
     """python -m ochrehoist, with stand-ins behind it; fronts are on as asked for."""
 
     def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, fault=None,
-                 stall_log=False, boot=True, **more):
-        self.folder = tempfile.TemporaryDirectory()
+                 stall_log=False, boot=True, passed=False, before=None, appliance=None, **more):
+        """With `before`, it is started beside that program to replace it. `passed`: its socket stays here."""
+        self.folder = before.folder if before else tempfile.TemporaryDirectory()
+        self.passed = before.passed if before else socket.create_server(("127.0.0.1", 0)) if passed else None
         self.kernel, self.members, self.server = Kernel(), Members(), AjpServer()
         self.kernel.boots = boot
         site, limits = site or settings(), {"memory_mb": 64, "sockets": sockets}
         env = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "OCHREHOIST_"))}
+        env["TMPDIR"] = self.folder.name
+        if self.passed:
+            env["EDGE_PASSED_SOCKET"] = str(self.passed.fileno())
         front = {"listen": "127.0.0.1:0", "rules": [
             {"uri": "/reads/*", "class": "read"},
             {"uri": "/filings*", "methods": ["POST"], "class": "filing"}],
@@ -456,7 +461,7 @@
         top = {"name": "n1", "stop_ms": stop_ms, "limits": limits, "admin": "127.0.0.1:0"}
         if ajp:
             whole = top | {"ajp": front, "console": {"agent_check": "127.0.0.1:0"}, "settings": site}
-            env["OCHREHOIST_AJP"] = self.file("ajp.toml", toml_file(whole))
+            env["OCHREHOIST_AJP"] = self.file("ajp.toml", appliance or toml_file(whole))
             self.appliance = whole
         if thrift:
             self.config = top | {
@@ -468,7 +473,8 @@
             env["PYTHONPATH"] = f"{self.folder.name}:{ROOT}"
         self.env, self.lines, self.at = env, [], {}
         self.process = subprocess.Popen([sys.executable, "-m", "ochrehoist"], cwd=ROOT, env=env,
-                                        stderr=subprocess.PIPE, text=True)
+                                        stderr=subprocess.PIPE, text=True,
+                                        pass_fds=[self.passed.fileno()] if self.passed else [])
         self.started = threading.Event()
         self.expected, self.stall_log = 1 + thrift + 2 * ajp, stall_log
         self.reader = threading.Thread(target=self._read, daemon=True)
@@ -477,6 +483,15 @@
         if thrift and boot:
             self.kernel.opened.get(timeout=PATIENCE)
 
+    def took_over(self):
+        """Waits until it has: then the program before it gets its notice, as on the platform."""
+        self.wait_for(lambda status: status["state"] in ("up", "standby"))
+        until = time.monotonic() + PATIENCE
+        while not self.said("took over"):  # the log is read by another thread
+            assert time.monotonic() < until, self.lines
+            time.sleep(0.002)
+        return self
+
     def file(self, name, content):
         path = Path(self.folder.name, name)
         path.write_text(content)
@@ -551,4 +566,7 @@
         self.process.stderr.close()
         for part in (self.kernel, self.members, self.server):
             part.close()
-        self.folder.cleanup()
+        if self.passed:
+            self.passed.close()
+        if Path(self.folder.name).exists():
+            self.folder.cleanup()
