--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -13,7 +13,7 @@
 from ochrehoist.config import Config
 from ochrehoist.core.figures import CONTENT_TYPE
 from ochrehoist.core.owner import Owner
-from ochrehoist.core.requests import Booted, Standby
+from ochrehoist.core.requests import Booted, Retuned, Standby
 from ochrehoist.logs import LogSink, start_log
 from ochrehoist.net import agent
 from ochrehoist.net.ajp import ReplyCodec
@@ -79,15 +79,18 @@
             front = AjpFront(loop, owner, servers, config.ajp, most, body_bytes, self.log,
                              inherited(config.ajp.listen))
             self.fronts.append(front)
-            self.takers += [lambda new: servers.configure(new.ajp), lambda new: front.configure(new.ajp)]
+            self.takers += [lambda new: servers.configure(new.ajp),
+                            lambda new: front.configure(new.ajp, new.settings)]
         if config.listen:
             self.gauge_source = kernel = Kernel(loop, owner, config.kernel, config.gauges, self.log)
             self.tasks.append(kernel.run)
-            self.takers.append(lambda new: kernel.move(new.kernel))
+            self.takers.append(lambda new: kernel.move(new.kernel, new.gauges))
             passed = inherited(config.listen)
             if config.passed is not None:
                 passed = socket.socket(fileno=config.passed)
-            self.fronts.append(ThriftFront(loop, owner, kernel, config.listen, room, self.log, passed))
+            routers = ThriftFront(loop, owner, kernel, config.listen, room, self.log, passed)
+            self.takers.append(lambda new: routers.reader.configure(new.settings))
+            self.fronts.append(routers)
         else:
             owner.post(Booted(None, 0))
         if config.members:
@@ -164,14 +167,17 @@
         if self.owner.forwarder is not None:
             return  # the file is for the process that decides now
         try:
-            self.config, fixed = configuration.taken_over(self.config, configuration.load(self.path))
+            new, fixed = configuration.taken_over(self.config, configuration.load(self.path))
         except BadInput as error:
             self.owner.figures.single["conf_invalid_total"] += 1
             self.log.error("configuration can't be used, the old one stays", why=str(error))
             return
         self.owner.figures.single["conf_loaded_total"] += 1
+        retuned, self.config = new.settings != self.config.settings, new
         for take in self.takers:
-            take(self.config)
+            take(new)
+        if retuned:
+            self.owner.post(Retuned(new.settings))
         self.log.info("configuration read again", needs_a_restart=fixed)
 
     # ---- replacing the process
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -76,6 +76,7 @@
     agent: Address | None = None
     passed: int | None = None  # a descriptor that listens at `listen`, kept by the platform
     link: str | None = None  # where the process that replaces this one finds it
+    keys: frozenset[str] = frozenset()  # of the platform's file: one that is read again must have them all
 
 
 # ---- values
@@ -210,6 +211,11 @@
             "sockets": limits.whole("sockets", 1024, least=64)}
 
 
+def _keys(data: Mapping[str, Any]) -> frozenset[str]:
+    """The keys of a file and of its settings. Deeper ones are judged one by one, where they are read."""
+    return frozenset(data) | {f"settings.{key}" for key in data["settings"]}
+
+
 def _link(name: str, environment: Mapping[str, str]) -> str | None:
     """A path in $TMPDIR, short enough for a socket whatever the worker is called."""
     folder = environment.get("TMPDIR")
@@ -267,10 +273,11 @@
     common = _common(top, _seed(top))
     second = environment.get("OCHREHOIST_AJP")
     listen = _required(top, "listen")
-    return Config(**common, listen=listen, passed=_passed(environment, listen),
-                  link=_link(common["name"], environment), kernel=_required(top, "kernel"),
-                  members=_address(top, "members"), admin=_address(top, "admin"),
-                  **(_second_front(_toml(second, "OCHREHOIST_AJP"), common["settings"]) if second else {}))
+    return Config(
+        **common, listen=listen, passed=_passed(environment, listen), link=_link(common["name"], environment),
+        keys=_keys(data), kernel=_required(top, "kernel"), members=_address(top, "members"),
+        admin=_address(top, "admin"),
+        **(_second_front(_toml(second, "OCHREHOIST_AJP"), common["settings"]) if second else {}))
 
 
 def load(path: str | None = None, environment: Mapping[str, str] = os.environ) -> Config:
@@ -284,7 +291,7 @@
 
 # ---- a configuration read again while the worker runs
 
-LIVE = frozenset({"kernel", "members"})
+LIVE = frozenset({"kernel", "members", "settings", "gauges"})
 FIXED_AJP = frozenset({"listen", "packet_size", "max_response", "max_connections"})  # in use by connections
 
 
@@ -294,6 +301,9 @@
 
 def taken_over(old: Config, new: Config) -> tuple[Config, list[str]]:
     """The old configuration with what can change in a running worker, and the keys that differ but can't."""
+    for key in sorted(old.keys - new.keys):
+        raise BadInput(f"setting {key}: missing")
+    old = replace(old, keys=new.keys)
     differing = _differing(old, new) - {"seed", "ajp", "link", "passed"}  # used up at the start
     for key in LIVE & differing:  # a part that was not started has nothing to hand the address to
         if None not in (getattr(old, key), getattr(new, key)):
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -27,6 +27,7 @@
     Message,
     Reason,
     Result,
+    Retuned,
     Standby,
     TakenOver,
     Waker,
@@ -78,6 +79,7 @@
         # this core stands still while the next one takes its state; and what it then is reduced to.
         self.predecessor: Callable[[], None] | None = None
         self.booted: Booted | None = None
+        self.born = 0  # when the executor came up
         self.frozen = False
         self.forwarder: Forwarder | None = None
         self.inherited_standby = False
@@ -163,7 +165,7 @@
     def _booted(self, m: Booted) -> None:
         if self.controller is not None or self.booted is not None:
             return
-        self.booted = m
+        self.booted, self.born = m, self.now - m.age
         if self.predecessor is not None:  # it may have keys: nothing is decided before they are here
             self.predecessor()
         else:
@@ -176,16 +178,24 @@
         if m.cold is not None:
             settings = replace(settings, just_started=m.cold)
         self.controller = AdmissionController(settings, self.seed)
-        self._handle(i.Started(), at=self.now - m.age)
+        self._handle(i.Started(), at=self.born)
+        if self.leave_at is not None:
+            self._handle(i.Leave(self.stop_at - self.leave_at), at=self.leave_at)
 
     # ---- replacing the process: the old one's side
     def freeze(self) -> handover.State:
         """Stands still, so that what is handed over is what the other process goes on from."""
         self.frozen = True
-        requests = list(self.live.values())
-        learned = handover.learned(self.controller) if self.controller is not None else None
-        classes = {c.name: c for c in self.controller.s.classes} if self.controller is not None else {}
-        return handover.State(learned, self.standby, requests, self.keys, classes)
+        return self._state()
+
+    def _state(self) -> handover.State:
+        if self.controller is None:
+            return handover.State(keys=self.keys, standby=self.standby)
+        used = {r.cls.name for r in self.live.values()}
+        used |= {token[1] for known in (self.keys.runs, self.keys.entries) for token in known}
+        classes = {c.name: c for c in self.controller.s.classes if c.name in used}
+        return handover.State(handover.learned(self.controller), self.standby, list(self.live.values()),
+                              self.keys, classes)
 
     def thaw(self) -> None:
         """The other process did not say yes: all goes on from where it stood."""
@@ -201,6 +211,16 @@
         self.thaw()
         return self.forwarder
 
+    # ---- new settings
+    def _retuned(self, m: Retuned) -> None:
+        self.settings = m.settings
+        self.figures.know(c.name for c in m.settings.classes)
+        if self.controller is None:
+            return self._index(m.settings)
+        self._take_up(self._state())
+        self.log.info("settings changed", classes=sorted(self.served_classes),
+                      gone=sorted(self.kinds.keys() - self.served_classes))
+
     # ---- the new one's side
     def _taken_over(self, m: TakenOver) -> None:
         """Goes on from the state of the process before this one, or from nothing."""
@@ -235,7 +255,9 @@
         for r in sorted(held, key=lambda r: r.arrived):
             self.live[r.id] = r
             self._owe(r)
-            self._handle(self._event(r))
+            event = self._event(r)
+            event.remaining = max(1, r.due - self.now)  # by its own class, whatever has become of that
+            self._handle(event)
         self._teach(state.learned)  # what was held is no news of how long requests wait to be read
 
     def _teach(self, learned: dict | None) -> None:
@@ -350,7 +372,8 @@
             self._judge()
 
     TAKES = {Booted: _booted, Arrived: _arrived, Gone: _gone, Ended: _ended, Joined: _joined,
-             Gauges: _measured, Leaving: _leaving, Standby: _stood_by, TakenOver: _taken_over}
+             Gauges: _measured, Leaving: _leaving, Standby: _stood_by, Retuned: _retuned,
+             TakenOver: _taken_over}
 
     # ---- time
     def _fall_due(self) -> None:
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from ochrehoist.interface import Outcome, RequestClass
+from ochrehoist.interface import Outcome, RequestClass, Settings
 
 KeyId = tuple[str | None, str, str]  # names of tenant and class, and the caller's token: one filing
 # Digests of what one filing says: of its target, where the wire has one, and of its body.
@@ -148,6 +148,13 @@
     on: bool
 
 
+@dataclass(slots=True)
+class Retuned:
+    """New settings, read while the worker runs."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class TakenOver:
     """How asking the process before this one ended: its state, or None where there is none to take."""
@@ -155,4 +162,4 @@
     state: Any
 
 
-Message = Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby | TakenOver
+Message = Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby | Retuned | TakenOver
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -286,9 +286,9 @@
         self.listening = Listening(loop, config.listen, self._accepted, max_connections, log, sock,
                                    self._make_room)
 
-    def configure(self, config: AjpConfig) -> None:
+    def configure(self, config: AjpConfig, settings: Settings) -> None:
         self.config = config
-        self.reader.configure(config, self.owner.settings)
+        self.reader.configure(config, settings)
 
     def _accepted(self, sock: socket.socket) -> Callable[[], None]:
         # Room for one response and some: a client that reads slowly holds up nobody else.
--- a/ochrehoist/net/kernel.py
+++ b/ochrehoist/net/kernel.py
@@ -86,11 +86,12 @@
         self.stream.write(_line(cmd="SCHED", req=r.id, method=r.payload.method,
                                 payload=base64.b64encode(r.payload.body).decode()))
 
-    def move(self, address: tuple[str, int]) -> None:
+    def move(self, address: tuple[str, int], gauges: tuple[str, ...]) -> None:
         """The kernel is reached at another address from now on; what runs there goes on.
 
         The old link is not waited for: it may have gone silent already, and its notices are told again.
         """
+        self.gauges = gauges
         if address != self.address:
             self.address = address
             self.moved.set()
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -10,7 +10,7 @@
 
 from ochrehoist.core.owner import Owner
 from ochrehoist.core.requests import Arrived, Executor, Gone, Inbound, Reason, Result
-from ochrehoist.interface import Repeat, Settings
+from ochrehoist.interface import Repeat, RequestClass, Settings
 from ochrehoist.net import thrift
 from ochrehoist.net.listener import Listening, Pace
 from ochrehoist.net.loop import Loop
@@ -82,11 +82,13 @@
 
     def __init__(self, settings: Settings, executor: Executor) -> None:
         self.executor = executor
+        self.classes: dict[str, RequestClass] = {}  # also those that are gone: the core answers them
+        self.tenants: set[str] = set()
         self.configure(settings)
 
     def configure(self, settings: Settings) -> None:
-        self.classes = {c.name: c for c in settings.classes}
-        self.tenants = {t.name for t in settings.tenants}
+        self.classes.update((c.name, c) for c in settings.classes)
+        self.tenants.update(t.name for t in settings.tenants)
 
     def request(self, values: dict[bytes, bytes], body: bytes, responder: "ThriftResponder") -> Inbound:
         f = Fields(values)
--- a/ochrehoist/settings.py
+++ b/ochrehoist/settings.py
@@ -101,6 +101,9 @@
             window=c.whole("Window", REQUIRED if repeat is i.Repeat.KEYED else 0),
             aim_stretch=c.number("AimStretch", 0.0), calls=calls[at], skip_worth=float(skips[at]),
         ))
+    names = [c.name for c in out]
+    if len(set(names)) < len(names):
+        raise BadInput(f"setting Classes: a name that comes twice in {names!r}")
     return tuple(out)
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,9 +1,10 @@
 """SIGHUP: the configuration is read again under load, and nothing that was begun is lost by it."""
 
 import json
+import signal
 import unittest
 
-from stand_ins import PATIENCE, AjpServer, Kernel, Members, Program, toml_file
+from stand_ins import MS, PATIENCE, AjpServer, Kernel, Members, Program, settings, toml_file
 
 BAD = "configuration can't be used, the old one stays"
 
@@ -45,6 +46,128 @@
         self.assertNotIn(b"doc", [body for _, _, body in (*second.scheduled.queue, *third.scheduled.queue)])
 
 
+def site(*classes):
+    """Settings with these classes; each is (name, deadline in ms, changes)."""
+    base = settings()
+    read, filing = base["Classes"]
+    base["Classes"] = [
+        (filing if "Window" in more else read) | {"Name": name, "Deadline": deadline * MS} | more
+        for name, deadline, more in classes]
+    return base
+
+
+KEYED = {"Window": 20_000 * MS}
+
+
+class Settings(unittest.TestCase):
+    def setUp(self):
+        self.program = Program()
+        self.addCleanup(self.program.close)
+        self.kernel = self.program.kernel
+
+    def reload(self, site, event="settings changed"):
+        return self.program.reload("config.json", json.dumps(self.program.config | {"settings": site}), event)
+
+    def test_classes_come_and_go_while_open_requests_and_keys_stay(self):
+        router = self.program.thrift()
+        done = router.invoke("filing", b"done", token="t0")
+        self.kernel.reap(self.kernel.next()[0], body=b"before")
+        router.answer(done)
+        running, read = router.invoke("filing", b"doc", token="t1"), router.invoke(body=b"read")
+        runs = {body: rid for rid, _, body in (self.kernel.next(), self.kernel.next())}
+        joined = router.invoke("filing", b"doc", token="t1", again="1")
+        held = router.invoke("filing", b"held", token="t2")  # two cores, both taken
+        router.ping()
+        self.assertEqual(self.reload(site(("new", 1500, KEYED), ("read", 1700, {})))["gone"], ["filing"])
+        # Of a class that is gone, what ran is answered for its whole window, and nothing else is begun.
+        self.assertEqual(router.call("filing", b"done", token="t0", again="1"), ("Answer", {}, b"before"))
+        self.assertEqual(router.call("filing", b"other", token="t0", again="1")[0], "Broken")
+        self.assertEqual(router.call("filing", b"late", token="t9")[0], "Throttled")
+        again = router.invoke("filing", b"doc", token="t1", again="1")
+        for body in (b"read", b"doc"):
+            self.kernel.reap(runs[body], body=b"made of " + body)
+        rid, method, body = self.kernel.next()
+        self.assertEqual((method, body), ("filing", b"held"))  # open: it keeps its class
+        self.kernel.reap(rid, body=b"made of held")
+        for number, body in ((running, b"doc"), (joined, b"doc"), (again, b"doc"), (read, b"read"),
+                             (held, b"held")):
+            self.assertEqual(router.answer(number), ("Answer", {}, b"made of " + body))
+        fresh = router.invoke("new", b"doc", token="t1")  # another class: another filing
+        rid, method, _ = self.kernel.next()
+        self.assertEqual(method, "new")
+        self.kernel.reap(rid, body=b"new")
+        self.assertEqual(router.answer(fresh)[2], b"new")
+        self.reload(site(("filing", 1800, KEYED), ("read", 1700, {})))
+        self.assertEqual(router.call("filing", b"doc", token="t1", again="1"), ("Answer", {}, b"made of doc"))
+        self.assertEqual(router.call("new", b"doc", token="t1", again="1"), ("Answer", {}, b"new"))
+        for group, counts in (("filing", [7, 3]), ("new", [2, 1])):
+            names = ("answered_total", "sends_total")
+            self.assertEqual([self.program.figure(name, group) for name in names], counts)
+        self.assertEqual(self.program.figure("conf_loaded_total"), 2)
+
+    def test_a_file_that_is_not_whole_and_good_changes_nothing_and_is_counted(self):
+        whole = self.program.config | {"settings": site(("new", 1500, {}))}
+        text = json.dumps(whole)
+        bad = ["", text[:len(text) // 2], text[:-1], "null"]
+        for key in whole:
+            bad.append(json.dumps({k: v for k, v in whole.items() if k != key}))
+        for key in whole["settings"]:
+            lacking = {k: v for k, v in whole["settings"].items() if k != key}
+            bad.append(json.dumps(whole | {"settings": lacking}))
+        for key in ("Name", "Slo", "Deadline", "Gain", "Repeat"):
+            changed = site(("new", 1500, {}))
+            del changed["Classes"][0][key]
+            bad.append(json.dumps(whole | {"settings": changed}))
+        for deadline in (0, -1, True, "1500000000", None, [], float("nan"), float("inf")):
+            bad.append(json.dumps(whole | {"settings": site(("new", 1, {"Deadline": deadline}))}))
+        bad.append(json.dumps(whole | {"settings": site(("new", 1500, {}), ("new", 1500, {}))}))
+        for content in bad:
+            with self.subTest(content[:60]):
+                self.assertIn("setting", self.program.reload("config.json", content, BAD)["why"])
+        self.assertEqual(self.program.figure("conf_invalid_total"), len(bad))
+        self.assertEqual(self.program.figure("conf_loaded_total"), 0)
+        router = self.program.thrift()
+        self.assertEqual(router.call("new")[0], "Exception")
+        seqid = router.invoke(body=b"as before")
+        self.kernel.reap(self.kernel.next()[0], body=b"served")
+        self.assertEqual(router.answer(seqid)[2], b"served")
+
+    def test_settings_change_on_standby_and_after_the_notice_to_leave_and_neither_is_undone(self):
+        router = self.program.thrift()
+        self.program.operator("POST", "/standby")
+        self.reload(site(("read", 1700, {}), ("new", 1500, {})))
+        router.ping()
+        self.assertFalse(router.good)
+        seqid = router.invoke("new", b"new")
+        rid = self.kernel.next()[0]
+        self.program.process.send_signal(signal.SIGTERM)
+        self.program.wait_for(lambda status: status["state"] == "leaving")
+        self.reload(site(("read", 1600, {})))
+        router.ping()
+        self.assertFalse(router.good)
+        self.kernel.reap(rid, body=b"served")
+        self.assertEqual(router.answer(seqid)[2], b"served")
+        router.close()
+        self.assertEqual(self.program.ended(), 0)
+
+    def test_a_process_that_took_over_takes_new_settings_and_keeps_the_old_ones_requests(self):
+        old = self.program
+        router = old.thrift()
+        running = router.invoke("filing", b"doc", token="t")
+        rid = old.kernel.next()[0]
+        new = Program(before=old)
+        self.addCleanup(new.close)
+        new.took_over()
+        old.process.send_signal(signal.SIGTERM)
+        without = json.dumps(new.config | {"settings": site(("read", 1700, {}))})
+        new.reload("config.json", without, "settings changed")
+        late = router.invoke("filing", b"doc", token="t", again="1")  # to the old one; its class is gone
+        other = router.invoke("filing", b"other", token="u")
+        self.assertEqual(router.answer(other)[0], "Throttled")
+        old.kernel.reap(rid, body=b"filed")
+        self.assertEqual([router.answer(n)[2] for n in (running, late)], [b"filed", b"filed"])
+
+
 class Appliance(unittest.TestCase):
     def test_servers_and_rules_change_while_a_request_runs_on_the_old_server(self):
         program = Program(thrift=False, ajp=True)
