--- a/ochrehoist/rules.py
+++ b/ochrehoist/rules.py
@@ -20,6 +20,7 @@
 QUOTA_S = 5.0  # s over which a rate is measured: arrivals, and a tenant's against its local share of quota
 REBUILD = 5 * S  # ns between rebuilds of the table
 ZERO_SHARE = 0.25  # p of H*(p), the design's default
+SHORT, AGAIN = 8, S // 200  # requests held that are ranked whole at every event; ns after which more are
 MAX_QUEUE = 32  # rows of the table; longer holds read the last row, where K is pinned
 MEMORY_S = 20.0  # s after which what was learned counts for 1/e
 PRIOR_S = 10.0  # s of observation at one n that weigh as much as the seed curve
@@ -113,12 +114,13 @@
         self.rng, n = random.Random(seed), len(s.classes)
         self.now = self.born = self.last = 0
         self.jobs, self.past, self.held, self.asking = {}, {}, {}, {}
+        self.groups, self.ranked = {}, 0  # the hold by groups of like worth; when it was last ranked whole
         self.cores, self.out, self.used, self.keys = 0, 0, 0.0, {}
         self.expiries, self.calls_over, self.call_time = [], deque(), 0  # ended calls, ns spent and reserved
         self.mean_aim = sum(c.aim for c in s.classes) / n
         crowd = max(s.cores + 1, int(s.cores * s.tip_multiple * CROWD_SHARE))
         self.curve = RateCurve(s.cores, crowd, s.cores / (self.mean_aim / S / 4))
-        self.floor, self.policy, self.rebuilt = s.cores, None, 0
+        self.floor, self.climb, self.policy, self.rebuilt = s.cores, 1 + s.cores // 4, None, 0
         self.took = [Recent(TOOK_S, self.mean_aim / 4, 3.0) for _ in s.classes]  # ns from start to finish
         self.progress, self.stalled, self.busy = 0, False, 0.0
         self.latency, self.bad_calls = Recent(CALLS_S), Recent(CALLS_S, 0.0, 10.0)
@@ -131,10 +133,10 @@
         self.heard = {}  # when each caller was last heard, oldest first, forgotten after HEARD_S
         self.left, self.patience = {}, {}  # by caller: ages of what it took back; how long it waits
         self.said, self.idle, self.healthy = None, None, True
-        self.wanted = self.others = 0  # what wants the cores; of it reads, checks, handshakes
+        self.wanted = self.others = self.measured = 0  # what wants the cores; of it reads, checks, handshakes
 
     def handle(self, now, event):
-        self.now, self.acts = now, []
+        self.now, self.acts, self.came = now, [], None
         self._pass_time()
         self.HANDLERS[type(event)](self, event)
         if self.asking:
@@ -221,7 +223,7 @@
         if self.stalled or late or not self._fits(j):
             return self._refuse(j)
         j.state = HELD
-        self.held[j.r.id] = j
+        self.held[j.r.id] = self.groups.setdefault(self._like(j), {})[j.r.id] = self.came = j
         if j.kind.repeat is Repeat.KEYED:
             self._keep(j)
 
@@ -266,22 +268,34 @@
     def _rank(self, starts):
         # The hold, dearest first. What cannot end in time behind the rest is told now, while its client can
         # go elsewhere. Empty servers always try: a mean time learned in trouble could keep work away.
-        # It is ranked at every event: by groups of like worth, since what is turned away should cost least.
-        ranked, run, warm, busy = [], S / self._rate(), self._warmth(), self.cores + self.out
-        groups = {}
-        for j in self.held.values():
-            groups.setdefault((j.r.kind, j.r.tenant, self.s.worth_by_work or j.r.work), []).append(j)
-        for group in sorted(groups.values(), key=lambda g: -self._value(g[0])):
+        # What is turned away should cost least: it goes by groups of like worth, and a long hold is ranked
+        # whole once each AGAIN only; else what has just come is judged, and what starts now. Harm: the others
+        # are told so much later.
+        ranked, run, warm, n = [], S / self._rate(), self._warmth(), 0
+        whole = len(self.held) <= SHORT or self.now - self.ranked >= AGAIN
+        self.ranked = self.now if whole else self.ranked
+        groups = [list(group.values()) for group in self.groups.values()]
+        for group in sorted(groups, key=lambda g: -self._value(g[0])):
             took = MARGIN * self.took[group[0].r.kind].value / warm
-            for j in group:
-                wait = max(0, len(ranked) + 1 - starts) * run  # what starts now waits for none
-                need = wait + took * self._crowding(self.cores + len(ranked) + 1) if ranked or busy else 0
-                if self.stalled or self.now + need > j.aim or need + self.now - j.arrived > self._patience(j):
+            n += len(group)
+            if not whole and group[-1] is self.came and self._hopeless(group[-1], n, starts, took, run):
+                self._refuse(group.pop())
+            for j in group if whole or len(ranked) < starts else ():
+                if not whole and len(ranked) >= starts:
+                    break
+                if self._hopeless(j, len(ranked) + 1, starts, took, run):
                     self._refuse(j)
                 else:
                     ranked.append(j)
         return ranked
 
+    def _hopeless(self, j, n, starts, took, run):  # as the n-th of the hold, of which so many start now
+        need = took * self._crowding(self.cores + n) if n > 1 or self.cores + self.out else 0
+        if n > starts:  # what starts now waits for none
+            need += (n - starts) * run
+        last = min(j.aim, j.arrived + self._patience(j)) if self.patience else j.aim
+        return self.stalled or self.now + need > last
+
     # Callers give up after a time of their own that no request tells, often the same for all they send. What
     # ends later is waste. Harm: what is taken back for other reasons counts as haste, for HEARD_S at most.
     def _on_left(self, j):
@@ -294,6 +308,16 @@
         lasts, until = self.patience.get(j.r.caller, (0, 0))
         return lasts if self.now < until else j.kind.deadline
 
+    def _like(self, j):  # what is of like worth, but for its age
+        return j.r.kind, j.r.tenant, self.s.worth_by_work or j.r.work
+
+    def _release(self, j):
+        if self.held.pop(j.r.id, None) is not None:
+            group = self.groups[self._like(j)]
+            del group[j.r.id]
+            if not group:
+                del self.groups[self._like(j)]
+
     # ---- starting
     def _fill(self):
         ceiling = self._ceiling()
@@ -301,7 +325,9 @@
             self._rebuild()
         unread = int(self.sent * self.unread.value / S)  # they wait too, and take cores while read
         row = self.policy[min(len(self.held) + unread, MAX_QUEUE)]
-        on = self.cores + min(self.others, unread)
+        # A gauge older than a run says nothing of the cores as they are: it would keep work from idle ones.
+        fresh = self.now - self.measured < min(t.value for t in self.took)
+        on = self.cores + (min(self.others, unread) if fresh else 0)
         starts = max(row[min(on + 1, len(row) - 1)] + 1, min(self.floor, ceiling) - on, 1 - self.cores)
         starts = min(starts, ceiling - self.cores - self.out - len(self.asking))
         for j in self._rank(max(0, starts))[:max(0, starts)]:
@@ -318,7 +344,7 @@
         more = j.kb * (self.s.run_factor - 1)
         if self.used + more + len(self.keys) * self.s.key_kb > self.s.memory_kb * FIT:
             return False
-        del self.held[j.r.id]
+        self._release(j)
         if not self.cores:
             self.progress = self.now
         self._move(j, CORE)
@@ -343,8 +369,11 @@
             if e.outcome is Outcome.OK and not self.stalled:
                 self.curve.done[min(self.cores, self.curve.crowd + 1)] += self._warmth() >= 1
                 self.took[j.r.kind].add(self.now, e.took * self._warmth() / self._crowding(self.cores))
+            # Idle is what a gauge said, once a beat: by one of them the floor must not climb to the top.
             idle = self.busy < FULL_LOAD and self.wanted < self.s.cores and self.held
-            self.floor = max(self.s.cores, min(self.curve.crowd, self.floor + (1 if idle else -1)))
+            change = (self.climb > 0) if idle else -1
+            self.climb -= max(0, change)
+            self.floor = max(self.s.cores, min(self.curve.crowd, self.floor + change))
             self.progress = self.now
         if e.outcome is Outcome.OK and not j.answered and self.now <= j.aim:
             for at in j.counts:
@@ -361,7 +390,7 @@
         j.state = state
 
     def _end(self, j):
-        self.held.pop(j.r.id, None)
+        self._release(j)
         if j.state == OUT:  # its caller left, or it was answered: the call is abandoned and may linger
             self._call_over(j, True)
         self._move(j, ENDED)
@@ -376,7 +405,8 @@
         away = self.stalled or self.leave_at is not None
         self.turned.add(self.now, not away)
         wait = self.unread.value + (len(self.held) + 1) / self._rate() * S
-        wait = self.s.max_backoff if away else min(wait, j.kind.aim * RETURN, self.s.max_backoff)
+        most = j.kind.aim * RETURN
+        wait = self.s.max_backoff if away else min(wait, most, self.s.max_backoff)
         # Retry storm: what others refuse too is not sent around; without marks our own share turned away must
         # tell. What is over its tenant's share is worth little anywhere. Harm: where only this one is full,
         # or slow, what others had room for is lost.
@@ -496,7 +526,8 @@
     def _on_alarm(self, e):
         self.busy = e.gauges.get("cpu_busy", 1.0)
         self.wanted = e.gauges.get("runnable", 0)
-        self.others = int(max(0, self.wanted - self.cores))
+        self.others, self.measured = int(max(0, self.wanted - self.cores)), self.now
+        self.climb = 1 + self.s.cores // 4
         for j in list(self.jobs.values()):
             if j.due - BEAT <= self.now and not j.answered:
                 self._fail(j)
@@ -515,7 +546,9 @@
             (self.keys if in_table else self.past).pop(job_id, None)
         # A hang, or a machine slowed by far: new work goes elsewhere while it can, and nothing is learned.
         # Harm: a healthy server whose every core has very long work.
+        # Where runs are short, a pause of ours looks like one: what ends within two beats was none.
         limit = sum(t.value for t in self.took) / len(self.took) * (1 + STALL / max(1, self.cores))
+        limit = max(limit, 2 * BEAT)
         self.stalled = self.cores >= self.s.cores and self.now - self.progress > limit
         healthy = not self.stalled and self.leave_at is None
         if healthy != self.healthy:
