--- a/tests/test_rush.py
+++ b/tests/test_rush.py
@@ -1,4 +1,4 @@
-"""Short runs at a high rate: what a gauge said a hundred milliseconds ago is long past, and events must cost little."""
+"""Short runs at a high rate: a gauge of 100 ms ago is long past, and events must cost little."""
 
 import unittest
 
