Keep slow rightful requests in a crowd, renew a silent kernel link, and add the on-call page

Seen: a request that took 2 s to come was closed in a crowd of idle connections; the kernel's link had no way to show that it was silent. Ruled out: the limit of 2.5 s for the first frame (it held to the end). Two tests, which fail without the change: both wires under 100 pairs of idle connections a second, a silent link with a filing and a read running.

--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -22,6 +22,9 @@
 from ochrehoist.net.stream import Closed, Stream, TimedOut
 
 S = 1_000_000_000
+STUCK = 1.0  # s without a byte after which a packet that was begun is taken for one that won't come
+MOVING = 0.2  # s after its connect that a first packet must still be coming to be taken for a slow one
+YOUNG = 0.5  # s that a new connection has before it counts as silent
 WHOLE = 2.5  # s for a packet that was begun, and for the first of a new connection
 
 
@@ -170,10 +173,9 @@
                 until = time.monotonic() + WHOLE
                 if not self.stream.buffer:
                     self.stream.fill(config.idle_s if self.known else min(config.idle_s, WHOLE))
-                arrived = time.time_ns()
                 left = time.monotonic() + WHOLE if self.known else until
                 packet = read_packet(self.stream, ajp.TO_CONTAINER, size, left - time.monotonic())
-                self.known = True
+                self.known, arrived = True, time.time_ns()  # a slow sender's time counts from its last byte
                 if not self.served:
                     self.pace.keep()
                 kind = packet[0] if packet else 0
@@ -298,13 +300,22 @@
         return connection.run
 
     def _make_room(self) -> bool:
-        """Closes the connection that has been idle longest: the silent must not shut out the others.
+        """Closes the connection that is missed least: the silent, the idle known, then the half-sent by age.
 
-        Nor may those that sent a part of a first packet; of one that is known, what has come is a request.
+        Of one that is known, what has come is a request, and is never cut off; a first one may come slowly.
         """
+        now = time.monotonic()
+
+        def missed(c: AjpConnection) -> tuple[int, float]:
+            if c.known:
+                return 2, c.used_at
+            if now - c.stream.heard_at > (STUCK if c.stream.buffer else YOUNG):
+                return 0, c.used_at
+            return (3 if c.stream.heard_at - c.used_at > MOVING else 1), c.used_at
+
         idle = [c for c in self.connections if not c.in_hand and not (c.known and c.stream.buffer)]
         if idle:
-            min(idle, key=lambda c: (c.known, c.used_at)).stream.close()
+            min(idle, key=missed).stream.close()
         return bool(idle)
 
     def closed(self, connection: AjpConnection) -> None:
--- a/ochrehoist/net/kernel.py
+++ b/ochrehoist/net/kernel.py
@@ -27,6 +27,8 @@
 CONNECT = 0.25  # s for a link to a process on this machine: what hangs must not hold up a move
 LOSS = 0.06  # s before a break in which commands may be lost: 50 ms, and some for the clocks
 LOST = 10.0  # s after a break until a filing still in doubt counts as failed, so that its slot is free
+SILENT = 0.7  # s without an answer to a question after which a link is taken for silent
+BOOT = 1.0  # s for the first word on a new link, once the kernel was up
 MAX_ASKED = 64  # questions without an answer that are remembered
 OUTCOMES = {"OK": Outcome.OK, "ERROR": Outcome.FAILED, "STOPPED": Outcome.CANCELLED, "MOOT": Outcome.MOOT}
 
@@ -57,6 +59,7 @@
         self.loop, self.owner, self.address, self.gauges, self.log = loop, owner, address, gauges, log
         self.stream: Stream | None = None  # once the kernel is up
         self.link: Stream | None = None  # the same, from its start
+        self.booted = False  # it was up once
         self.moved = Signal(loop)
         self.offset = 0
         self.stepped_over = -1  # the offset after which the next notice can't be had
@@ -74,6 +77,9 @@
 
     def measure(self) -> None:
         if self.stream is not None:
+            if self.questions and time.monotonic() - next(iter(self.questions.values())) > SILENT:
+                self.log.warning("the kernel's link is silent")
+                return self.stream.close()  # notices are told again on a new one
             self.asked += 1
             token = f"g{self.asked}"
             self.questions[token] = time.monotonic()
@@ -148,7 +154,8 @@
     def _talk(self, stream: Stream) -> None:
         stream.write(_line(cmd="OPEN", offset=self.offset))
         while True:
-            line = stream.take_line(MAX_LINE)
+            # A kernel that is not up yet may be waited for; one that was up has no reason to be silent.
+            line = stream.take_line(MAX_LINE, BOOT if self.stream is None and self.booted else None)
             try:
                 self._notice(stream, json.loads(line))
             except (ValueError, KeyError, TypeError, AttributeError) as error:
@@ -165,7 +172,7 @@
     def _notice(self, stream: Stream, m: dict) -> None:
         command = m["cmd"]
         if command == "BOOTED":
-            self.stream = stream
+            self.stream, self.booted = stream, True
             self.owner.post(Booted(m["result"] == "COLD", int(m["elapsed_ms"] * MS)))
             if any(run.doubtful for run in self.running.values()):
                 self.measure()  # answered after all notices of before
--- a/ochrehoist/net/stream.py
+++ b/ochrehoist/net/stream.py
@@ -30,6 +30,7 @@
         self.ended = False  # no more will be read
         self.closed = False
         self.closing = False  # closes once all is sent
+        self.heard_at = time.monotonic()  # when bytes came last, or it was opened
         self.arrived = Signal(loop)
         self.wants_input = False
         self.on_close: Callable[[], None] | None = None
@@ -70,6 +71,7 @@
         self.loop.on_readable(self.fd, None)
         self.buffer += data
         self.ended = not data
+        self.heard_at = time.monotonic()
         self.arrived.set()
 
     def take(self, count: int, timeout: float | None = None) -> bytes:
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -23,6 +23,9 @@
 MAX_OPEN = 32  # requests open on one connection
 LINGER = 0.5  # s that a router has to close a connection after its farewell
 WHOLE = 2.5  # s for a frame that was begun, and for a new connection to get its first answer
+STUCK = 1.0  # s without a byte after which a request that was begun is taken for one that won't come
+MOVING = 0.2  # s after its connect that a first request must still be coming to be taken for a slow one
+YOUNG = 0.5  # s that a new connection has before it counts as silent
 ONCE = 2.0  # s without a request after which a connection used once is taken for one that stays for nothing
 CROWDED = 0.125  # of the connections there is room for: from there on such are sent away
 SMALLEST = 1e-9  # KB: a figure above 0
@@ -298,15 +301,23 @@
     def _make_room(self) -> bool:
         """Closes the idle connection that is missed least: what crosses the close is sent once more.
 
-        First those that were told to go, then those that said nothing since they came, then those that were
-        never served, then what has been idle longest.
+        First those that were told to go, then the silent, then those that asked once or were never served,
+        then what was half sent and has stopped, what has just come, and what has been idle longest. Last what
+        goes on sending: a rightful request may take seconds to come.
         """
         now = time.monotonic()
 
         def missed(c: Connection) -> tuple[int, float]:
-            young = not c.answered and now - c.opened < 0.5
-            return (0 if c.farewelled else 3 if young else 1 if not c.answered else 2 if not c.served else 4,
-                    c.used_at)
+            if c.farewelled:
+                return 0, c.used_at
+            quiet = now - c.stream.heard_at
+            if c.stream.buffer and quiet > STUCK:
+                return 3, c.used_at
+            if c.stream.buffer and (c.answered or c.stream.heard_at - c.opened > MOVING):
+                return 6, c.used_at
+            if not c.answered:
+                return (1 if not c.stream.buffer and quiet > YOUNG else 4), c.used_at
+            return (2 if c.calls <= 1 or not c.served else 5), c.used_at
 
         idle = [c for c in self.connections if not c.open]
         if idle:
@@ -320,9 +331,11 @@
         for c in list(self.connections):
             if c.open or c.stream.closed:
                 continue
-            idle = now - c.used_at
+            # What is still sending a request is in use, though the request is not here yet.
+            used_at = max(c.used_at, c.stream.heard_at) if c.stream.buffer else c.used_at
+            idle = now - used_at
             if c.farewelled is not None:
-                if now - max(c.farewelled, c.used_at) > LINGER:
+                if now - max(c.farewelled, used_at) > LINGER:
                     c.stream.close_when_sent()
             elif not c.answered and now - c.opened > WHOLE:
                 c.stream.close()  # nothing that could be answered came: nobody waits for anything here
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -104,6 +104,7 @@
 
     def __init__(self, notices=()):
         self.notices, self.out, self.runnable, self.boots = list(notices), None, 1.0, True
+        self.silent = False  # on the link that there is; the next one is answered again
         self.scheduled, self.opened, self.asked = queue.Queue(), queue.Queue(), queue.Queue()
         self.lock = threading.Lock()
         super().__init__()
@@ -115,11 +116,13 @@
                 continue
             if m["cmd"] == "OPEN":
                 with self.lock:
-                    self.out = sock
+                    self.out, self.silent = sock, False
                     self._say(cmd="BOOTED", result="WARM", elapsed_ms=5000)
                     for notice in self.notices[m["offset"]:]:
                         self._say(**notice)
                 self.opened.put(m["offset"])
+            elif m["cmd"] == "SYSINFO" and self.silent:
+                continue
             elif m["cmd"] == "SYSINFO":
                 with self.lock:
                     self._say(cmd="INFO", token=m["token"], load=[0.5, self.runnable])
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -20,6 +20,16 @@
     return True
 
 
+class Sink:
+    """Takes what would be sent."""
+
+    def __init__(self, into):
+        self.into = into
+
+    def sendall(self, data):
+        self.into.append(data)
+
+
 class Bad(unittest.TestCase):
     def setUp(self):
         self.program = Program(ajp=True, sockets=160)
@@ -62,6 +72,35 @@
         self.assertEqual(web.answer()[2], b"served")
         del crowd
 
+    def test_a_rightful_request_that_takes_two_seconds_to_come_outlives_a_crowd_of_idle_ones(self):
+        at, keeper = self.program.at["ThriftFront"], self.program.thrift()
+        self.served(keeper)
+        self.served(keeper)
+        slow, web = self.program.thrift(), self.program.ajp()
+        whole, parts = [], []
+        written = str(time.time_ns() // 1_000_000 + 2200)  # when its last byte is written
+        for connection, begin in ((slow, lambda: slow.invoke(body=b"slow", t0=written)), (web, web.request)):
+            plain, connection.sock = connection.sock, Sink(whole)
+            begin()
+            connection.sock = plain
+            parts.append((plain, whole.pop()))
+        began, crowd, step, opened = time.monotonic(), [], 0, 0
+        while (spent := time.monotonic() - began) < 2.1:
+            if spent > opened / 100:  # a hundred pairs a second: the table is full after half of one
+                crowd = crowd[-300:] + [Thrift(at), Ajp(self.program.at["AjpFront"])]
+                opened += 1
+            self.assertEqual(keeper.ping()[0], "Answer")
+            if spent > step / 10:  # a piece each tenth of a second
+                for sock, data in parts:
+                    sock.sendall(data[step * len(data) // 22:(step + 1) * len(data) // 22])
+                step += 1
+        for sock, data in parts:
+            sock.sendall(data[step * len(data) // 22:])
+        self.kernel.reap(self.kernel.next()[0], body=b"came at last")
+        self.assertEqual(slow.answer(1)[2], b"came at last")
+        self.program.server.next()[2](data=b"came too")
+        self.assertEqual(web.answer()[2], b"came too")
+
     def test_one_that_was_never_served_is_read_slowly(self):
         flood, began = self.program.thrift(), time.monotonic()
         numbers = [flood.send("fly", b"\0") for _ in range(200)]
--- a/tests/test_thrift_front.py
+++ b/tests/test_thrift_front.py
@@ -197,6 +197,20 @@
                 self.assertEqual(router.answer(seqid), ("Answer", {}, b"%d" % number))
         self.assertTrue(self.kernel.scheduled.empty())
 
+    def test_a_silent_link_is_made_anew_and_loses_nothing(self):
+        router = self.program.thrift()
+        filing, read = router.invoke("filing", b"doc", token="t"), router.invoke(body=b"read")
+        runs = {body: rid for rid, _, body in (self.kernel.next(), self.kernel.next())}
+        self.kernel.wait_for_questions(2)
+        self.kernel.silent, self.kernel.runnable = True, 2.0
+        for body in (b"doc", b"read"):
+            self.kernel.reap(runs[body], body=body, say=False)  # told on the next link
+        self.assertEqual(self.kernel.opened.get(timeout=PATIENCE), 0)
+        for number, body in ((filing, b"doc"), (read, b"read")):
+            self.assertEqual(router.answer(number), ("Answer", {}, body))
+        self.assertTrue(self.kernel.scheduled.empty())
+        self.assertEqual(len(self.program.said("the kernel's link is silent")), 1)
+
     def test_what_starts_without_a_link_is_scheduled_once_there_is_one(self):
         router = self.program.thrift()
         self.kernel.refuse()
