Bound what routers do not read together, in our memory and in the system's buffers

Seen: each router's connection could keep 512 KB of answers that it does not take, hundreds of them more than the memory; the system's own buffers grew by megabytes beside that. Checked: with 30 readers that take nothing, none was cut off before (test); ruled out a bound that counts our memory alone, which the same test did not reach, for the system's buffers took it all.

--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -31,6 +31,7 @@
 
 RESULT_SHARE = 0.15  # of the process memory, for the results of filings
 BODY_SHARE = 0.12  # of it, for AJP bodies coming in, for responses being read, and for those not yet sent
+UNSENT_SHARE = 0.06  # of it, for answers that routers have not taken yet
 LEAST = 8  # connections that a front may have at once, whatever the process before this one still holds
 RESERVED = 24  # descriptors for all that is no accepted connection
 SERVICE = Service.max_open + 1  # and for the operators' address and the agent checks, each, where they are on
@@ -88,7 +89,8 @@
             passed = inherited(config.listen)
             if config.passed is not None:
                 passed = socket.socket(fileno=config.passed)
-            routers = ThriftFront(loop, owner, kernel, config.listen, room, self.log, passed)
+            unsent = int(config.memory_mb * 1e6 * UNSENT_SHARE)
+            routers = ThriftFront(loop, owner, kernel, config.listen, room, unsent, self.log, passed)
             self.takers.append(lambda new: routers.reader.configure(new.settings))
             self.fronts.append(routers)
         else:
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -21,6 +21,7 @@
 MAX_BODY = 2048
 MAX_RESULT = 4096
 MAX_OPEN = 32  # requests open on one connection
+SEND_BUFFER = 64 * 1024  # the system's, for each connection: for a slow reader it would grow to megabytes
 LINGER = 0.5  # s that a router has to close a connection after its farewell
 WHOLE = 2.5  # s for a frame that was begun, and for a new connection to get its first answer
 STUCK = 1.0  # s without a byte after which a request that was begun is taken for one that won't come
@@ -254,6 +255,8 @@
     def _write(self, data: bytes) -> None:
         self.answered = True
         self.stream.write(data)
+        if self.stream.unsent:
+            self.front.bound_unsent()
 
     def answer(self, seqid: int, data: bytes) -> None:
         if self.open.pop(seqid, None) is not None:
@@ -272,10 +275,11 @@
     """Listens for routers. It is a Listener of the core: idle times and the notice to leave come by that."""
 
     def __init__(self, loop: Loop, owner: Owner, executor: Executor, address: tuple[str, int],
-                 max_connections: int, log: Any, sock: socket.socket | None = None) -> None:
+                 max_connections: int, max_unsent: int, log: Any, sock: socket.socket | None = None) -> None:
         self.loop, self.owner, self.log = loop, owner, log
         self.reader = ThriftReader(owner.settings, executor)
         self.connections: set[Connection] = set()
+        self.max_unsent = max_unsent  # bytes of all answers that are not taken yet
         self.draining = False
         self.idle: float = owner.settings.idle / 1e9
         self.bad_frames, self.why, self.logged = 0, "", 0.0
@@ -284,6 +288,7 @@
         loop.call_later(0.1, self._sweep)
 
     def _accepted(self, sock: socket.socket) -> Callable[[], None]:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         connection = Connection(self, Stream(self.loop, sock))
         self.connections.add(connection)
         return connection.run
@@ -298,6 +303,11 @@
     def bad_frame(self, why: str) -> None:
         self.bad_frames, self.why = self.bad_frames + 1, why
 
+    def bound_unsent(self) -> None:
+        """Readers this slow would fill the memory together: the one furthest behind is cut off."""
+        while sum(len(c.stream.unsent) for c in self.connections) > self.max_unsent:
+            max(self.connections, key=lambda c: len(c.stream.unsent)).stream.close()
+
     def _make_room(self) -> bool:
         """Closes the idle connection that is missed least: what crosses the close is sent once more.
 
--- a/tests/test_thrift_front.py
+++ b/tests/test_thrift_front.py
@@ -1,6 +1,7 @@
 """The real program on the platform's wire: routers, kernel and membership service are stand-ins."""
 
 import json
+import select
 import signal
 import socket
 import struct
@@ -261,6 +262,29 @@
         self.assertEqual(quick.ping()[0], "Answer")
 
 
+    def test_many_readers_that_take_nothing_are_bounded_together(self):
+        junk = struct.pack(">I", 0x80010001) + b"\0\0\x27\x10" + b"x" * 10000 + b"\0\0\0\x01\0"
+        frame, slow = struct.pack(">I", len(junk)) + junk, []
+        for _ in range(30):
+            slow.append(self.program.thrift())
+            slow[-1].sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        quick = self.program.thrift()
+        quick.ping()
+        closed = 0
+        for connection in slow:  # less for each than the bound of one
+            try:
+                for _ in range(40):
+                    connection.sock.sendall(frame)
+            except OSError:
+                closed += 1
+        ends = select.poll()
+        for connection in slow:
+            ends.register(connection.sock, select.POLLRDHUP)
+        closed += bool(ends.poll(3000))
+        self.assertTrue(closed)
+        self.assertEqual(quick.ping()[0], "Answer")
+
+
 class Draining(Case):
     def test_all_that_was_read_is_answered_then_the_program_ends_well(self):
         idle, busy = self.program.thrift(), self.program.thrift()
