--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -50,6 +50,20 @@
     return "\n".join(f"{key} = {toml(value)}" for key, value in top.items())
 
 
+class Dribble:
+    """A socket that sends one byte at a time."""
+
+    def __init__(self, sock):
+        self.sock = sock
+
+    def sendall(self, data):
+        for n in range(len(data)):
+            self.sock.sendall(data[n:n + 1])
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+
 class Listener:
     """A loopback server; each connection gets a thread."""
 
@@ -179,7 +193,7 @@
                 length = int(head[15:]) if head.startswith(b"content-length:") else length
             self.reports.put((line.split()[1].decode(), json.loads(lines.read(length))["phase"]))
             if self.answers:
-                sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+                Dribble(sock).sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
 
     def wait_for(self, phase):
         while (report := self.reports.get(timeout=PATIENCE))[1] != phase:
@@ -414,7 +428,7 @@
                 body += data[2:]
             done = threading.Event()
 
-            def respond(status=200, data=b"", done=done):
+            def respond(status=200, data=b"", done=done, sock=sock):
                 head = struct.pack(">BH", 4, status) + ajp_text("Fine") + struct.pack(">H", 1) \
                     + ajp_text("X-Made-By") + ajp_text("server")
                 parts = [data[n:n + 8000] for n in range(0, len(data), 8000)]
--- a/tests/test_ajp_front.py
+++ b/tests/test_ajp_front.py
@@ -1,5 +1,6 @@
 """The real program as an appliance: web servers in front and AJP servers behind are stand-ins."""
 
+import json
 import signal
 import socket
 import struct
@@ -7,7 +8,7 @@
 import time
 import unittest
 
-from stand_ins import AjpServer, ajp_packet
+from stand_ins import AjpServer, Dribble, ajp_packet
 from test_thrift_front import DUE, Case
 
 
@@ -272,6 +273,25 @@
     how = {"thrift": True, "ajp": True}
     key = {"Idempotency-Key": "f1", "X-Tenant": "acme"}
 
+    def test_pieces_of_one_byte_on_every_socket(self):
+        router, web, member = self.program.thrift(), self.program.ajp(), self.program.members
+        router.sock, web.sock = Dribble(router.sock), Dribble(web.sock)
+        for number in range(2):
+            seqid = router.invoke("filing", b"doc", token=f"t{number}")
+            self.kernel.notice(cmd="DMESG", result="a remark")
+            self.kernel.reap(self.kernel.next()[0], body=b"filed", say=False)
+            for byte in json.dumps(self.kernel.notices[-1]).encode() + b"\n":
+                self.kernel.say_raw(bytes((byte,)))
+            self.assertEqual(router.answer(seqid), ("Answer", {}, b"filed"))
+            web.request("POST", "/reads/1", body=b"body")
+            _, body, respond = self.server.next()
+            self.assertEqual(body, b"body")
+            respond(data=b"page", sock=Dribble(self.server.links[-1]))
+            self.assertEqual(web.answer()[::2], (200, b"page"))
+            member.wait_for("UP")  # answered by the byte
+        self.assertEqual(self.program.said("kernel link lost"), [])
+        self.assertEqual([line["accepted"] for line in self.program.said("membership reports")], [True])
+
     def test_a_filing_that_ran_for_thrift_serves_its_repeats_on_ajp(self):
         router, web = self.program.thrift(), self.program.ajp()
         first = router.invoke("filing", b"doc", token="f1")
