Hear SIGHUP and SIGTERM although they were inherited as ignored or blocked

Cause: run() left a signal alone that its parent had ignored.

Change: both orders are always handled, and unblocked. Only SIGINT stays ignored where it was, as shells do for background jobs.

Measured: the new test fails for the ignored and for the blocked signal without the change, and passes with it.

--- a/ochrehoist/__main__.py
+++ b/ochrehoist/__main__.py
@@ -123,10 +123,12 @@
         self.started = time.monotonic()
 
     def run(self) -> int:
-        for number, call in ((signal.SIGTERM, self.ending.leave), (signal.SIGINT, self.ending.leave),
-                             (signal.SIGHUP, self.reload)):
-            if signal.getsignal(number) is not signal.SIG_IGN:  # as under nohup
-                self.loop.on_signal(number, call)
+        # SIGTERM and SIGHUP are orders to this program, whatever whoever started it does with them: nohup and
+        # some supervisors leave SIGHUP ignored, and a worker deaf to it would serve an old configuration.
+        self.loop.on_signal(signal.SIGTERM, self.ending.leave)
+        self.loop.on_signal(signal.SIGHUP, self.reload)
+        if signal.getsignal(signal.SIGINT) is not signal.SIG_IGN:  # ignored by a shell for background jobs
+            self.loop.on_signal(signal.SIGINT, self.ending.leave)
         for task in self.tasks:
             self.loop.spawn(task)
         if self.predecessor is None:
--- a/ochrehoist/net/loop.py
+++ b/ochrehoist/net/loop.py
@@ -103,7 +103,10 @@
 
     # ---- signals
     def on_signal(self, number: int, call: Callable[[], Any]) -> None:
-        """`call` runs on the hub; the pipe wakes a poll that the handler alone would not end (PEP 475)."""
+        """`call` runs on the hub; the pipe wakes a poll that the handler alone would not end (PEP 475).
+
+        A signal that was inherited as ignored or blocked is heard from now on.
+        """
         if not self.signals:
             reader, writer = os.pipe()
             os.set_blocking(reader, False)
@@ -112,6 +115,7 @@
             self.on_readable(reader, lambda: self._signalled(reader))
         self.signals[number] = call
         signal.signal(number, lambda *_: None)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {number})
 
     def _signalled(self, reader: int) -> None:
         for number in set(os.read(reader, 4096)):
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -458,8 +458,12 @@
     """python -m ochrehoist, with stand-ins behind it; fronts are on as asked for."""
 
     def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, fault=None,
-                 stall_log=False, boot=True, passed=False, before=None, appliance=None, **more):
-        """With `before`, it is started beside that program to replace it. `passed`: its socket stays here."""
+                 stall_log=False, boot=True, passed=False, before=None, appliance=None, inherits=None,
+                 **more):
+        """With `before`, it is started beside that program to replace it. `passed`: its socket stays here.
+
+        `inherits` is called in the new process before the program, as a parent that leaves signals changed.
+        """
         self.folder = before.folder if before else tempfile.TemporaryDirectory()
         self.passed = before.passed if before else socket.create_server(("127.0.0.1", 0)) if passed else None
         self.kernel, self.members, self.server = Kernel(), Members(), AjpServer()
@@ -490,7 +494,7 @@
             env["PYTHONPATH"] = f"{self.folder.name}:{ROOT}"
         self.env, self.lines, self.at = env, [], {}
         self.process = subprocess.Popen([sys.executable, "-m", "ochrehoist"], cwd=ROOT, env=env,
-                                        stderr=subprocess.PIPE, text=True,
+                                        stderr=subprocess.PIPE, text=True, preexec_fn=inherits,
                                         pass_fds=[self.passed.fileno()] if self.passed else [])
         self.started = threading.Event()
         self.expected, self.stall_log = 1 + thrift + 2 * ajp, stall_log
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -168,6 +168,33 @@
         self.assertEqual([router.answer(n)[2] for n in (running, late)], [b"filed", b"filed"])
 
 
+ORDERS = (signal.SIGHUP, signal.SIGTERM)
+
+
+def ignored():
+    """As nohup leaves SIGHUP to what it starts."""
+    for number in ORDERS:
+        signal.signal(number, signal.SIG_IGN)
+
+
+def blocked():
+    signal.pthread_sigmask(signal.SIG_BLOCK, ORDERS)
+
+
+class Inherited(unittest.TestCase):
+    """Whole days were served on the first configuration where the bench had been started by nohup."""
+
+    def test_signals_inherited_as_ignored_or_blocked_are_heard_all_the_same(self):
+        for inherits in (ignored, blocked):
+            with self.subTest(inherits.__name__):
+                program = Program(inherits=inherits)
+                self.addCleanup(program.close)
+                new = json.dumps(program.config | {"settings": site(("new", 1500, {}))})
+                program.reload("config.json", new, "settings changed")
+                program.process.send_signal(signal.SIGTERM)
+                self.assertEqual(program.ended(), 0)
+
+
 class Appliance(unittest.TestCase):
     def test_servers_and_rules_change_while_a_request_runs_on_the_old_server(self):
         program = Program(thrift=False, ajp=True)
