Turn health bad and look for the kernel when the worker is cut off from it

Need: a worker that missed an order, or met an unusable file at the moment of a move, served on without a kernel, in good health, failing each request at its due time; nothing showed it.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,13 @@
-# `make` builds; `make test` lints and runs all tests; `make run` serves deploy/ajp.toml in the foreground.
+# `make` builds; `make test` lints and runs all tests; `make stress` runs hundreds of reloads at bad moments;
+# `make run` serves deploy/ajp.toml in the foreground.
 PYTHON ?= python3
 VENV = .venv
 CONFIG ?= deploy/ajp.toml
 
-.PHONY: build lint test run
+RELOADS ?= 400
+SEED ?= 1
+
+.PHONY: build lint test stress run
 
 build: $(VENV)/installed $(VENV)/installed-dev
 
@@ -24,5 +28,8 @@
 test: lint
 	$(VENV)/bin/python -m pytest -q
 
+stress: build
+	RELOADS=$(RELOADS) SEED=$(SEED) $(VENV)/bin/python -m pytest -q tests/test_reload_stress.py
+
 run: $(VENV)/installed
 	$(VENV)/bin/python -m ochrehoist --config $(CONFIG) run
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -23,6 +23,7 @@
     Inbound,
     Joined,
     Leaving,
+    Linked,
     Listener,
     Message,
     Reason,
@@ -67,6 +68,7 @@
         self.gauges: dict[str, float] = {}
         self.now = 0
         self.module_good = True  # the module's own verdict
+        self.linked = True  # what runs the requests is within reach
         self.standby = False  # the operators want it empty
         self.healthy = True  # what checks and reports say: all of this, and no notice to leave
         self.weight = 100  # per cent of its usual share that this worker asks for
@@ -101,7 +103,7 @@
         """
         if self.controller is None or self.leave_at is not None or self.forwarder is not None:
             return False
-        return self.module_good and (not self.standby or self.inherited_standby)
+        return self.module_good and self.linked and (not self.standby or self.inherited_standby)
 
     @property
     def current(self) -> int:
@@ -119,6 +121,8 @@
             return "leaving"
         if self.controller is None:
             return "starting"
+        if not self.linked:
+            return "cut off"
         return "standby" if self.standby else "up" if self.healthy else "down"
 
     def post(self, message: Message) -> None:
@@ -371,8 +375,12 @@
             self.log.info("standby" if m.on else "active", in_hand=self.owed)
             self._judge()
 
+    def _linked(self, m: Linked) -> None:
+        self.linked = m.up
+        self._judge()
+
     TAKES = {Booted: _booted, Arrived: _arrived, Gone: _gone, Ended: _ended, Joined: _joined,
-             Gauges: _measured, Leaving: _leaving, Standby: _stood_by, Retuned: _retuned,
+             Gauges: _measured, Leaving: _leaving, Standby: _stood_by, Linked: _linked, Retuned: _retuned,
              TakenOver: _taken_over}
 
     # ---- time
@@ -507,7 +515,7 @@
         self._judge()
 
     def _judge(self) -> None:
-        good = self.module_good and not self.standby and self.leave_at is None
+        good = self.module_good and self.linked and not self.standby and self.leave_at is None
         if good != self.healthy:
             self.healthy = good
             for listener in self.listeners:
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -148,6 +148,13 @@
     on: bool
 
 
+@dataclass(slots=True)
+class Linked:
+    """Whether what runs the requests is within reach; a short break is not told."""
+
+    up: bool
+
+
 @dataclass(slots=True)
 class Retuned:
     """New settings, read while the worker runs."""
@@ -162,4 +169,4 @@
     state: Any
 
 
-Message = Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby | Retuned | TakenOver
+Message = Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby | Linked | Retuned | TakenOver
--- a/ochrehoist/net/kernel.py
+++ b/ochrehoist/net/kernel.py
@@ -58,6 +58,8 @@
                  log: Any) -> None:
         self.loop, self.owner, self.address, self.gauges, self.log = loop, owner, address, gauges, log
         self.stream: Stream | None = None  # once the kernel is up
+        self.since = time.monotonic()  # when the link came up, or was lost
+        self.measured_at: float | None = None  # when gauges came last
         self.link: Stream | None = None  # the same, from its start
         self.booted = False  # it was up once
         self.moved = Signal(loop)
@@ -104,6 +106,17 @@
             if self.link is not None:
                 self.link.close()
 
+    def view(self) -> dict[str, Any]:
+        """For operators: the link's address and state, and how much waits for it."""
+        now = time.monotonic()
+        silent = self.questions and now - next(iter(self.questions.values())) > SILENT
+        state = ("silent" if silent else "up") if self.stream else "down" if self.booted else "starting"
+        age = None if self.measured_at is None else round(now - self.measured_at, 2)
+        return {"address": f"{self.address[0]}:{self.address[1]}", "link": state,
+                "since_s": round(now - self.since, 1), "gauges_age_s": age, "notices": self.offset,
+                "waiting": sum(run.given is None for run in self.running.values()),
+                "doubtful": sum(run.doubtful for run in self.running.values())}
+
     # ---- the link
     def run(self) -> None:
         while True:
@@ -125,6 +138,8 @@
             except Exception:
                 self.log.exception("fault on the kernel link")
             finally:
+                if self.stream is not None:
+                    self.since = time.monotonic()
                 self.stream = self.link = None
                 stream.close()
             doubtful = self._doubt()
@@ -172,7 +187,7 @@
     def _notice(self, stream: Stream, m: dict) -> None:
         command = m["cmd"]
         if command == "BOOTED":
-            self.stream, self.booted = stream, True
+            self.stream, self.booted, self.since = stream, True, time.monotonic()
             self.owner.post(Booted(m["result"] == "COLD", int(m["elapsed_ms"] * MS)))
             if any(run.doubtful for run in self.running.values()):
                 self.measure()  # answered after all notices of before
@@ -187,6 +202,7 @@
             if asked is not None:
                 self.heeded = max(self.heeded, asked)
                 self._settle_doubts(asked, values.get("runnable"))
+            self.measured_at = time.monotonic()
             self.owner.post(Gauges(values))
         elif command in ("REAP", "DMESG"):
             offset = m["offset"]
--- /dev/null
+++ b/ochrehoist/worker.py
@@ -0,0 +1,204 @@
+"""How the parts of one worker are put together, and what operators call on it."""
+
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+
+from ochrehoist.config import Config
+from ochrehoist.core.figures import CONTENT_TYPE
+from ochrehoist.core.owner import Owner
+from ochrehoist.core.requests import Booted, Standby
+from ochrehoist.logs import LogSink, start_log
+from ochrehoist.net import agent
+from ochrehoist.net.ajp import ReplyCodec
+from ochrehoist.net.ajp_front import AjpFront
+from ochrehoist.net.ajp_server import AjpServers
+from ochrehoist.net.ending import Ending
+from ochrehoist.net.kernel import Kernel
+from ochrehoist.net.link import Predecessor, Successors, predecessors_sockets
+from ochrehoist.net.listener import Service
+from ochrehoist.net.loop import Loop, Signal, steady_clock
+from ochrehoist.net.members import Members
+from ochrehoist.net.operators import Answer, Operators, said
+from ochrehoist.net.thrift_front import ThriftFront
+from ochrehoist.reload import Reloading
+from ochrehoist.settings import BadInput
+
+RESULT_SHARE = 0.15  # of the process memory, for the results of filings
+BODY_SHARE = 0.12  # of it, for AJP bodies coming in, for responses being read, and for those not yet sent
+UNSENT_SHARE = 0.06  # of it, for answers that routers have not taken yet
+LEAST = 8  # connections that a front may have at once, whatever the process before this one still holds
+RESERVED = 24  # descriptors for all that is no accepted connection
+SERVICE = Service.max_open + 1  # and for the operators' address and the agent checks, each, where they are on
+
+
+class Worker:
+    """One worker: the core, its fronts and executors, on one scheduler."""
+
+    def __init__(self, config: Config, path: str | None = None) -> None:
+        self.config, self.sink = config, LogSink(sys.stderr.fileno())
+        self.log = start_log(self.sink).bind(name=config.name)
+        self.loop = loop = Loop(self.log)
+        self.owner = owner = Owner(
+            config.settings, config.seed, Signal(loop), steady_clock(), time.time_ns, self.log,
+            int(config.memory_mb * 1e6 * RESULT_SHARE), lambda: self.gauge_source.measure())
+        self.inherited = predecessors_sockets(config.link) if config.link else None
+        self.members: Members | None = None
+        self.successors: Successors | None = None
+        self.predecessor: Predecessor | None = None
+        self.fronts: list[ThriftFront | AjpFront] = []
+        self.tasks = [owner.run]
+        takers: list[Callable[[Config], None]] = []  # parts that take a configuration read again
+        room = config.sockets - RESERVED - SERVICE * sum(a is not None for a in (config.admin, config.agent))
+        self.kernel: Kernel | None = None
+
+        def inherited(address: tuple[str, int]) -> socket.socket | None:
+            return (self.inherited or {}).get(address)
+
+        if config.ajp:
+            body_bytes = int(config.memory_mb * 1e6 * BODY_SHARE)
+            servers = AjpServers(loop, owner, config.ajp, body_bytes, self.log)
+            self.gauge_source = servers
+            # What runs is bounded by the crowd that the cores survive, whatever the module learns.
+            room -= int(config.settings.cores * config.settings.tip_multiple)
+            room -= sum(s.max_idle for s in config.ajp.servers)
+            most = min(config.ajp.max_connections, room // 2 if config.listen else room)
+            if most < 1:
+                raise BadInput(f"setting limits.sockets: too few: {config.sockets}")
+            room -= most
+            front = AjpFront(loop, owner, servers, config.ajp, most, body_bytes, self.log,
+                             inherited(config.ajp.listen))
+            self.fronts.append(front)
+            takers += [lambda new: servers.configure(new.ajp),
+                            lambda new: front.configure(new.ajp, new.settings)]
+        if config.listen:
+            kernel = Kernel(loop, owner, config.kernel, config.gauges, self.log)
+            self.gauge_source = self.kernel = kernel
+            self.tasks.append(kernel.run)
+            takers.append(lambda new: kernel.move(new.kernel, new.gauges))
+            passed = inherited(config.listen)
+            if config.passed is not None:
+                passed = socket.socket(fileno=config.passed)
+            unsent = int(config.memory_mb * 1e6 * UNSENT_SHARE)
+            routers = ThriftFront(loop, owner, kernel, config.listen, room, unsent, self.log, passed)
+            takers.append(lambda new: routers.reader.configure(new.settings))
+            self.fronts.append(routers)
+        else:
+            owner.post(Booted(None, 0))
+        if config.members:
+            self.members = members = Members(loop, owner, config.members, config.name, self.log)
+            takers.append(lambda new: members.move(new.members))
+            owner.listeners.append(members)
+        owner.listeners += self.fronts
+        self.listeners: list = list(self.fronts)
+        if config.agent:
+            self.listeners.append(agent.AgentCheck(loop, owner, config.agent, self.log,
+                                                   inherited(config.agent)))
+        if config.admin:
+            self.listeners.append(Operators(loop, config.admin, {
+                "/status": {"GET": self.status}, "/status/metrics": {"GET": self.metrics},
+                "/standby": {"POST": lambda: self.standby(True)},
+                "/active": {"POST": lambda: self.standby(False)}}, self.log, inherited(config.admin)))
+        self.handed = {p.listening.address for p in self.listeners
+                       if p.listening.sock in (self.inherited or {}).values()}
+        for address, sock in (self.inherited or {}).items():
+            if address not in self.handed:
+                sock.close()  # of no use here: what waits in its queue is for the process that listens there
+        self.reloading = Reloading(loop, owner, config, path, takers, self.kernel, self.log)
+        if self.kernel:
+            self.tasks.append(self.reloading.watch_link)
+        self.ending = Ending(loop, owner, self.fronts, config.stop_ms, self.log)
+        self.room = {front: front.listening.limit for front in self.fronts}
+        if config.link:
+            self._take_up(config.link)
+        if self.kernel:
+            self.kernel.shared = lambda: bool(
+                owner.forwarder or (self.predecessor and self.predecessor.present))
+        self.started = time.monotonic()
+
+    def run(self) -> int:
+        # SIGTERM and SIGHUP are orders to this program, whatever whoever started it does with them: nohup and
+        # some supervisors leave SIGHUP ignored, and a worker deaf to it would serve an old configuration.
+        self.loop.on_signal(signal.SIGTERM, self.ending.leave)
+        self.loop.on_signal(signal.SIGHUP, self.reloading.order)
+        if signal.getsignal(signal.SIGINT) is not signal.SIG_IGN:  # ignored by a shell for background jobs
+            self.loop.on_signal(signal.SIGINT, self.ending.leave)
+        for task in self.tasks:
+            self.loop.spawn(task)
+        if self.predecessor is None:
+            self._serve()
+        for part in self.listeners:
+            if isinstance(part, Operators) and part.listening.address not in self.handed:
+                part.listening.start()  # it says from the start that it is not ready
+            self.log.info("started", part=type(part).__name__, listen=part.listening.address)
+        self.loop.run()
+        if self.successors:
+            self.successors.close()
+        f = self.owner.figures
+        self.log.info("ended", served=f.total("answered_total"), refused=f.total("deferred_total"),
+                      failed=f.total("errored_total"))
+        return 0
+
+    # ---- what operators call
+    def status(self) -> Answer:
+        o, f = self.owner, self.owner.figures
+        values = {"name": self.config.name, "state": o.state,
+                  "up_s": round(time.monotonic() - self.started, 1), "in_hand": o.owed,
+                  "running": sum(r.started for r in o.live.values()), "served": f.total("answered_total"),
+                  "refused": f.total("deferred_total"), "failed": f.total("errored_total"),
+                  "keys": len(o.keys.runs), "result_bytes": o.keys.bytes, "log_dropped": self.sink.dropped,
+                  "connections": {type(f).__name__: len(f.connections) for f in self.fronts},
+                  "configuration": self.reloading.view()}
+        if self.kernel:
+            values["kernel"] = self.kernel.view()
+        return said(values, HTTPStatus.OK if o.ready else HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def metrics(self) -> Answer:
+        return Answer(HTTPStatus.OK, self.owner.figures.text(self.owner.current).encode(), CONTENT_TYPE)
+
+    def standby(self, on: bool) -> Answer:
+        self.owner.post(Standby(on))
+        return said({"standby": on})
+
+    # ---- replacing the process
+    def _take_up(self, path: str) -> None:
+        """Finds out whether another process serves, and prepares to replace it, and to be replaced."""
+        codec = ReplyCodec()
+        self.successors = Successors(self.loop, self.owner, path, codec, self._sockets, self._replaced,
+                                     self.log)
+        if self.inherited is None:
+            return
+        self.predecessor = Predecessor(
+            self.loop, self.owner, path, codec, lambda: [p.listening.address for p in self.listeners],
+            self._serve, self._make_way, self.log)
+        self.tasks.append(self.predecessor.run)
+
+    def _sockets(self) -> dict[str, socket.socket]:
+        return {type(p).__name__: p.listening.sock for p in self.listeners if not p.listening.stopped}
+
+    def _serve(self) -> None:
+        """No other process decides: this one takes what comes."""
+        for part in self.listeners:
+            part.listening.start()
+        if self.members:
+            self.loop.spawn(self.members.run)
+        if self.successors:
+            self.successors.listen()
+
+    def _replaced(self, at: list) -> None:
+        """Another process decides now. Where it listens too, this one no longer does."""
+        for part in self.listeners:
+            if list(part.listening.address) in at:
+                part.listening.stop(leave_queue=True)
+        if self.members:
+            self.members.stop()
+        self.ending.retire(self.successors.holds)
+
+    def _make_way(self, held: Mapping[str, int]) -> None:
+        """The connections that the process before this one still holds count against the limit of both."""
+        for front in self.fronts:
+            used = held.get(type(front).__name__, 0) if self.predecessor and held else 0
+            front.listening.set_limit(max(LEAST, self.room[front] - used - (RESERVED // 2 if held else 0)))
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -459,14 +459,14 @@
 
     def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, fault=None,
                  stall_log=False, boot=True, passed=False, before=None, appliance=None, inherits=None,
-                 **more):
+                 kernel=None, **more):
         """With `before`, it is started beside that program to replace it. `passed`: its socket stays here.
 
         `inherits` is called in the new process before the program, as a parent that leaves signals changed.
         """
         self.folder = before.folder if before else tempfile.TemporaryDirectory()
         self.passed = before.passed if before else socket.create_server(("127.0.0.1", 0)) if passed else None
-        self.kernel, self.members, self.server = Kernel(), Members(), AjpServer()
+        self.kernel, self.members, self.server = kernel or Kernel(), Members(), AjpServer()
         self.kernel.boots = boot
         site, limits = site or settings(), {"memory_mb": 64, "sockets": sockets}
         env = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "OCHREHOIST_"))}
