--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-# `make` builds; `make test` lints and runs all tests; `make stress` runs hundreds of reloads at bad moments;
+# `make` builds; `make test` lints and runs all tests; `make stress` runs hundreds of reloads at bad moments,
+# `make kills` thousands of kills of a worker with a store;
 # `make run` serves deploy/ajp.toml in the foreground.
 PYTHON ?= python3
 VENV = .venv
@@ -7,7 +8,9 @@
 RELOADS ?= 400
 SEED ?= 1
 
-.PHONY: build lint test stress run
+KILLS ?= 2000
+
+.PHONY: build lint test stress kills run
 
 build: $(VENV)/installed $(VENV)/installed-dev
 
@@ -23,7 +26,7 @@
 	cp requirements-dev.txt $@
 
 lint: build
-	$(VENV)/bin/ruff check ochrehoist tests
+	$(VENV)/bin/ruff check ochrehoist tests benchmarks
 
 test: lint
 	$(VENV)/bin/python -m pytest -q
@@ -31,5 +34,8 @@
 stress: build
 	RELOADS=$(RELOADS) SEED=$(SEED) $(VENV)/bin/python -m pytest -q tests/test_reload_stress.py
 
+kills: build
+	$(VENV)/bin/python -m benchmarks.state_kills $(KILLS)
+
 run: $(VENV)/installed
 	$(VENV)/bin/python -m ochrehoist --config $(CONFIG) run
--- /dev/null
+++ b/benchmarks/state_load.py
@@ -0,0 +1,154 @@
+"""What the store costs: a filing's latency, filings a second, the loop's delay, and a start with many
+filings.
+
+`python -m benchmarks.state_load [SECONDS]`; each figure with the store and without, in one run, by turns.
+"""
+
+import argparse
+import shutil
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+
+from filing_clerk import site  # noqa: E402
+from stand_ins import AjpServer, Program  # noqa: E402
+
+from ochrehoist.store import disk  # noqa: E402
+from ochrehoist.store.backlog import Begin, End  # noqa: E402
+from ochrehoist.store.clock import stamp_now  # noqa: E402
+from ochrehoist.store.opening import open_folder  # noqa: E402
+from ochrehoist.store.records import Begun, Finished, key_of, pack  # noqa: E402
+
+WINDOW = 900 * 10**9
+FILED = 100_000
+
+
+class Instant(AjpServer):
+    """Answers each request at once, on its own connection's thread."""
+
+    def __init__(self):
+        super().__init__()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            self.got.get()[2](data=b"done")
+
+
+def share(values, part):
+    return sorted(values)[min(len(values) - 1, int(len(values) * part))] * 1e3
+
+
+def load(state, seconds, clients, rate=None):
+    """Latencies (s) of filings and of CPings beside them, and filings a second."""
+    folder = Path(tempfile.mkdtemp(dir="."))
+    server = Instant()
+    settings = site()
+    settings["FamilyInfo"] |= {"Cores": 16, "HeapKb": 90e6}
+    program = Program(thrift=False, ajp=True, site=settings, server=server,
+                      state={"folder": str(folder / "state")} if state else None)
+    until, took, pings, lock = time.monotonic() + seconds, [], [], threading.Lock()
+
+    def file(number):
+        client, n, mine = program.ajp(), 0, []
+        while (began := time.monotonic()) < until:
+            n += 1
+            status, _, _ = client.call("POST", "/filings", {
+                "Idempotency-Key": f"{number}.{n}", "X-Tenant": "acme"}, b"doc" * 100)
+            if status == 200:
+                mine.append(time.monotonic() - began)
+            if rate:
+                time.sleep(max(0.0, clients / rate - (time.monotonic() - began)))
+        with lock:
+            took.extend(mine)
+
+    def ping():
+        client = program.ajp()
+        while (began := time.monotonic()) < until:
+            client.cping()
+            pings.append(time.monotonic() - began)
+            time.sleep(0.002)
+
+    threads = [threading.Thread(target=file, args=(n,)) for n in range(clients)]
+    threads.append(threading.Thread(target=ping))
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    program.close()
+    server.close()
+    shutil.rmtree(folder)
+    return took, pings, len(took) / seconds
+
+
+def raw(seconds):
+    """Filings begun and ended a second by the store alone, in groups as under load."""
+    folder = Path(tempfile.mkdtemp(dir="."))
+    opened, n, began = open_folder(folder, 0, WINDOW, stamp_now()), 0, time.monotonic()
+    while time.monotonic() - began < seconds:
+        group = []
+        for _ in range(32):
+            n += 1
+            record = Begun(("acme", "filing", f"k{n}"), f"r{n}", WINDOW, WINDOW, stamp_now(), None, bytes(32))
+            key = key_of(record.token)
+            group += [Begin(record.id, key, record), End(key, Finished("OK", True, bytes(300)))]
+        opened.db.commit(group)
+        opened.db.tidy()
+    rate = n / (time.monotonic() - began)
+    opened.db.close()
+    shutil.rmtree(folder)
+    return rate
+
+
+def start(count):
+    """Seconds from the start of the process until it is ready, and what it then takes in memory (MB)."""
+    folder = Path(tempfile.mkdtemp(dir="."))
+    where, begun, ended = folder / "state", [], []
+    if count:
+        open_folder_empty(where)
+        for n in range(count):
+            record = Begun(("acme", "filing", f"key {n:032d}"), f"r{n}", WINDOW, WINDOW, stamp_now(), None,
+                           bytes(32))
+            key = key_of(record.token)
+            begun.append(record)
+            ended.append((key, pack(key, Finished("OK", True, bytes(300)))))
+        disk.fill(where / disk.db_name(), 1, begun, ended, {})
+    began = time.monotonic()
+    program = Program(thrift=False, ajp=True, site=site(), state={"folder": str(where)})
+    program.ajp().cping()
+    took = time.monotonic() - began
+    status = Path(f"/proc/{program.process.pid}/status").read_text()
+    memory = int(status.split("VmRSS:")[1].split()[0]) / 1024
+    program.close()
+    shutil.rmtree(folder)
+    return took, memory
+
+
+def open_folder_empty(where):
+    where.mkdir()
+    open_folder(where, 0, WINDOW, stamp_now()).db.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("seconds", nargs="?", type=float, default=8)
+    given = parser.parse_args()
+    for title, clients, rate in (("200 filings/s", 8, 200), ("as many as come", 24, None)):
+        for state in (False, True):
+            took, pings, done = load(state, given.seconds, clients, rate)
+            with_it = "with the store" if state else "without       "
+            print(f"{title}, {with_it}: {done:6.0f} filings/s; filing p50 "
+                  f"{share(took, .5):6.2f} p99 {share(took, .99):6.2f} ms; CPing beside p50 "
+                  f"{share(pings, .5):5.2f} p99 {share(pings, .99):5.2f} ms", flush=True)
+    print(f"the store alone: {raw(given.seconds):.0f} filings begun and ended a second")
+    for count in (0, FILED):
+        took, memory = start(count)
+        print(f"{count:6} filings on record: ready in {took:.2f} s, {memory:.0f} MB")
+
+
+if __name__ == "__main__":
+    main()
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -18,6 +18,7 @@
 Address = tuple[str, int]
 APPLIANCE_FILE = "deploy/ajp.toml"  # where nothing else is named
 MAX_LINK = 90  # bytes of a path; a socket's may have 107, and a few are added to it
+ON_LOSS = ("hold", "serve")  # refuse filings until no window of before can be open, or take the risk
 MIN_PACKET, MAX_PACKET = 8192, 65536  # of AJP/1.3
 
 
@@ -59,6 +60,20 @@
     servers: tuple[AjpServer, ...]
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class StateConfig:
+    """What survives the process, and where."""
+
+    folder: str
+    max_mb: float
+    commit_ms: float  # that the first filing of a group waits for more
+    stall_ms: float  # that a filing waits for the disk
+    on_loss: str
+    max_result_kb: float
+    learned_every_s: float
+    learned_half_life_s: float
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class Config:
     name: str
@@ -74,6 +89,7 @@
     ajp: AjpConfig | None = None
     admin: Address | None = None  # where operators call
     agent: Address | None = None
+    state: StateConfig | None = None
     passed: int | None = None  # a descriptor that listens at `listen`, kept by the platform
     link: str | None = None  # where the process that replaces this one finds it
     keys: frozenset[str] = frozenset()  # of the platform's file: one that is read again must have them all
@@ -192,14 +208,29 @@
         data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
         raise BadInput(f"setting {key}: {path}: {error}") from None
-    top = _only(Reader(data, ""), "name", "stop_ms", "limits", "admin", "ajp", "console", "settings")
+    top = _only(Reader(data, ""), "name", "stop_ms", "limits", "admin", "ajp", "console", "state", "settings")
     _only(top.part("limits", {}), "memory_mb", "sockets")
     return top
 
 
+def _state(top: Reader) -> StateConfig | None:
+    if "state" not in top.data:
+        return None
+    r = _only(top.part("state"), "folder", "max_mb", "commit_ms", "stall_ms", "on_loss", "max_result_kb",
+              "learned_every_s", "learned_half_life_s")
+    return StateConfig(
+        folder=r.text("folder"), max_mb=r.number("max_mb", 256, least=1),
+        commit_ms=r.number("commit_ms", 1), stall_ms=r.number("stall_ms", 250, least=1),
+        on_loss=r.choice("on_loss", {word: word for word in ON_LOSS}, "hold"),
+        max_result_kb=r.number("max_result_kb", 1024),
+        learned_every_s=r.number("learned_every_s", 5, least=0.1),
+        learned_half_life_s=r.number("learned_half_life_s", 3600, least=1))
+
+
 def _second_front(top: Reader, settings: Settings) -> dict[str, Any]:
     console = _only(top.part("console", {}), "agent_check")
-    return {"ajp": _ajp(top.part("ajp"), settings), "agent": _address(console, "agent_check", True)}
+    return {"ajp": _ajp(top.part("ajp"), settings), "agent": _address(console, "agent_check", True),
+            "state": _state(top)}
 
 
 def _common(top: Reader, seed: int) -> dict[str, Any]:
@@ -309,6 +340,9 @@
         if None not in (getattr(old, key), getattr(new, key)):
             differing.remove(key)
             old = replace(old, **{key: getattr(new, key)})
+    if "state" in differing and None not in (old.state, new.state):
+        differing.remove("state")
+        differing |= {f"state.{key}" for key in _differing(old.state, new.state)}
     if None in (old.ajp, new.ajp):
         return old, sorted(differing | ({"ajp"} if old.ajp is not new.ajp else set()))
     changed = _differing(old.ajp, new.ajp)
--- /dev/null
+++ b/ochrehoist/core/filings.py
@@ -0,0 +1,138 @@
+"""Filings on their way through the journal: none begins before it is on record, and what was is known
+again."""
+
+from typing import TYPE_CHECKING
+
+from ochrehoist import interface as i
+from ochrehoist.core import handover
+from ochrehoist.core.keys import Run
+from ochrehoist.core.requests import (
+    Inbound,
+    Joined,
+    Journal,
+    KeyId,
+    Reason,
+    Recorded,
+    Restored,
+    Result,
+)
+
+if TYPE_CHECKING:
+    from ochrehoist.core.owner import Owner
+
+RESULT_OVERHEAD = 600  # bytes that one remembered run takes beyond its result
+
+
+class Filings:
+    """The core's dealings with its journal; without one, filings are as safe as the process."""
+
+    def __init__(self, owner: "Owner") -> None:
+        self.owner = owner
+        self.journal: Journal | None = None
+        self.lesson: dict | None = None  # what was learned before, for a module that is not up yet
+
+    # ---- in
+    def turned_away(self, r: Inbound) -> bool:
+        """Answers one that can't go on record now, unless another try of it is known."""
+        owner = self.owner
+        if self.journal is None or owner.keys.original(r.token, r.arrived) is not None:
+            return False
+        refusal = self.journal.refuses()
+        if refusal is None:
+            return False
+        if refusal.may_have_run:
+            owner.turn_away(r, Reason.MAY_HAVE_RUN)
+        else:
+            owner.turn_away(r, backoff=refusal.backoff)
+        return True
+
+    def begin(self, r: Inbound) -> None:
+        """Runs it once it is on record, which a Recorded tells."""
+        if self.journal is None:
+            return self.owner.execute(r)
+        self.journal.begin(r, self.owner.keys.runs[r.token])
+
+    def recorded(self, m: Recorded) -> None:
+        owner, r = self.owner, self.owner.live.get(m.id)
+        run = owner.keys.runs.get(r.token) if r is not None else None
+        if run is None or run.id != r.id or run.begun:
+            return
+        if m.ok and (not r.answered or run.waiters):
+            run.begun = True
+            return owner.execute(r)
+        # Nobody waits for it any more, or it can't be put on record: it was never begun.
+        waiters = owner.keys.never_ran(r.token, r.id)
+        self.journal.drop(r.token)
+        for request_id in (r.id, *waiters):
+            waiting = owner.live.get(request_id)
+            if waiting is not None:
+                owner.refuse(waiting, m.backoff)
+                owner.live.pop(request_id, None)
+                owner.tell(i.Completed(request_id, i.Outcome.MOOT, 0))
+
+    # ---- out
+    def ended(self, r: Inbound, result: Result) -> None:
+        owner = self.owner
+        if result.outcome in i.NEVER_RAN:
+            waiters = owner.keys.never_ran(r.token, r.id)
+            if self.journal is not None:
+                self.journal.drop(r.token)
+        else:
+            size = len(result.body) + result.detail_bytes + RESULT_OVERHEAD
+            run = owner.keys.runs.get(r.token)
+            waiters = owner.keys.ended(r.token, r.id, result, size)
+            if self.journal is not None and run is not None and run.id == r.id:
+                self.journal.end(r.token, run, result)
+        for waiter in waiters:
+            owner.post(Joined(waiter, result))
+
+    def join(self, r: Inbound) -> None:
+        """Gives a repeat the result of the run it repeats, at once or when it is there."""
+        owner = self.owner
+        r.joined_at = owner.now
+        run = owner.keys.runs.get(r.token) if r.token is not None else None
+        if run is not None and run.result is None and not run.dropped:
+            run.waiters.append(r.id)
+        elif run is not None and run.result is not None:
+            owner.post(Joined(r.id, run.result))
+        elif run is not None and run.stored and self.journal is not None:
+            self.journal.fetch(r.token, r.id)
+        else:  # a run whose result was let go, or never known, can't be served again, only failed
+            owner.post(Joined(r.id, Result(i.Outcome.FAILED)))
+
+    def sweep(self) -> None:
+        for token in self.owner.keys.sweep(self.owner.now):
+            if self.journal is not None:
+                self.journal.drop(token)
+
+    # ---- after a restart
+    def restored(self, m: Restored) -> None:
+        """Takes up what was on record; what has come since goes before it."""
+        for token, run in m.runs.items():
+            self.owner.keys.runs.setdefault(token, run)
+        self.lesson = m.learned
+        self.teach()
+
+    def teach(self) -> None:
+        """What was learned before, as soon as there is a module to teach."""
+        if self.lesson is None or self.owner.controller is None:
+            return
+        lesson, self.lesson = self.lesson, None
+        try:
+            handover.teach(self.owner.controller, lesson, self.owner.now)
+        except Exception:  # it learns anew
+            self.owner.log.exception("what was learned before can't be taken up")
+
+    def wake(self, token: KeyId) -> None:
+        """Tells the module of a run of before a restart, now that it is asked for: all at once were too
+        much."""
+        run = self.owner.keys.runs.get(token)
+        if run is not None and run.asleep:
+            run.asleep = False
+            self.adopt(token, run)
+
+    def adopt(self, token: KeyId, run: Run) -> None:
+        owner = self.owner
+        kind = owner.kinds[token[1]]
+        since = max(0, owner.now - (run.window_end - owner.controller.s.classes[kind].window))
+        owner.tell(i.Adopted(i.Request(run.id, kind, unread_for=since), True, True))
--- a/ochrehoist/core/forwarder.py
+++ b/ochrehoist/core/forwarder.py
@@ -10,7 +10,7 @@
 from ochrehoist import interface as i
 from ochrehoist.core.figures import Figures
 from ochrehoist.core.handover import DetailCodec, Line, Send, request_line, result_from, result_line
-from ochrehoist.core.requests import Arrived, Ended, Gone, Inbound, Message, Reason, Result, Standby
+from ochrehoist.core.requests import Arrived, Ended, Gone, Inbound, Message, Reason, Recorded, Result, Standby
 
 LATE = 25_000_000  # ns past its due time after which a request is answered here, whatever the other does
 
@@ -39,6 +39,8 @@
                 self._let_go(r)
         elif isinstance(message, Ended):
             self._ended(message)
+        elif isinstance(message, Recorded):
+            self._recorded(message)
         elif isinstance(message, Standby):
             self._tell({"m": "standby", "on": message.on})
         # Gauges, alarms, joined repeats and the notice to leave concern the one that decides.
@@ -57,6 +59,14 @@
         self.pending[r.id] = r
         self._tell({"m": "arrived"} | request_line(r, r.arrived))
 
+    def _recorded(self, m: Recorded) -> None:
+        """A filing that was on its way to the disk when the other process took over."""
+        r = self.pending.get(m.id)
+        if r is not None and m.ok and not r.answered:
+            self._execute(r)
+        elif r is not None:
+            self.take(Ended(r.id, Result(i.Outcome.MOOT), 0))
+
     def _ended(self, m: Ended) -> None:
         r = self.pending.get(m.id)
         if r is None:
@@ -92,6 +102,9 @@
                 self._tell({"m": "ended", "id": request_id, "result": moot, "took": 0})
             return
         r.started = True
+        self._execute(r)
+
+    def _execute(self, r: Inbound) -> None:
         if not r.remote:
             self.figures.count("sends_total", r.cls.name)
         try:
--- a/ochrehoist/core/handover.py
+++ b/ochrehoist/core/handover.py
@@ -17,6 +17,7 @@
 from ochrehoist.rules import AdmissionController
 
 VERSION = 1
+LEARNED = 1  # the layout of what `learned` tells
 MEANS = ("latency", "bad_calls", "retries", "turned", "unread")
 Line = dict[str, Any]
 Send = Callable[[Line], bool | None]  # False where the other process is gone
@@ -184,6 +185,7 @@
     for token, run in state.keys.runs.items():
         yield {"m": "run", "token": token, "id": run.id, "window_end": run.window_end - offset,
                "fingerprint": _fingerprint(run.fingerprint), "dropped": run.dropped,
+               "stored": run.stored, "begun": run.begun, "asleep": run.asleep,
                "result": None if run.result is None else result_line(run.result, codec)}
     for token, (holder, until, known) in state.keys.entries.items():
         yield {"m": "entry", "token": token, "holder": holder, "until": until - offset,
@@ -221,7 +223,9 @@
         elif kind == "run":
             token = _token(data["token"])
             run = Run(data["id"], int(data["window_end"]) + self.offset,
-                      _from_fingerprint(data["fingerprint"]), dropped=bool(data["dropped"]))
+                      _from_fingerprint(data["fingerprint"]), dropped=bool(data["dropped"]),
+                      stored=bool(data.get("stored")), begun=bool(data.get("begun")),
+                      asleep=bool(data.get("asleep")))
             state.keys.runs[token] = run
             if data["result"] is not None:
                 result = result_from(data["result"], self.codec)
--- a/ochrehoist/core/keys.py
+++ b/ochrehoist/core/keys.py
@@ -20,6 +20,9 @@
     fingerprint: Fingerprint | None
     result: Result | None = None
     dropped: bool = False  # the result was too much to keep; the run itself is never forgotten early
+    stored: bool = False  # its result is on record: it can be had from there
+    begun: bool = False  # given to its executor, once on record; without a journal nobody asks
+    asleep: bool = False  # of before a restart, and the module has not heard of it
     waiters: list[str] = field(default_factory=list)
 
 
@@ -104,12 +107,14 @@
         if token in self.runs:
             self.runs[token].result = None
 
-    def sweep(self, now: int) -> None:
-        """Lets go of what no try that can still be read would name."""
+    def sweep(self, now: int) -> list[KeyId]:
+        """Lets go of what no try that can still be read would name; gives the tokens of runs."""
         past = now - self.slack
         for token in [t for t, entry in self.entries.items() if entry[1] < past]:
             self._drop(token)
-        for token in [t for t, r in self.runs.items()
-                      if r.window_end < past and (r.result is not None or r.dropped)]:
+        over = [t for t, r in self.runs.items()
+                if r.window_end < past and (r.result is not None or r.dropped)]
+        for token in over:
             self._release(token)
             del self.runs[token]
+        return over
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -12,6 +12,7 @@
 from ochrehoist import interface as i
 from ochrehoist.core import handover
 from ochrehoist.core.figures import Figures
+from ochrehoist.core.filings import RESULT_OVERHEAD, Filings
 from ochrehoist.core.forwarder import Forwarder
 from ochrehoist.core.keys import KeyTable
 from ochrehoist.core.requests import (
@@ -27,6 +28,8 @@
     Listener,
     Message,
     Reason,
+    Recorded,
+    Restored,
     Result,
     Retuned,
     Standby,
@@ -35,13 +38,13 @@
 )
 from ochrehoist.rules import AdmissionController
 
+__all__ = ["RESULT_OVERHEAD", "Owner"]
 MS = 1_000_000
 SECOND = 1000 * MS
 RING_WAIT = 25 * MS  # an alarm rings so long after it fell due at the latest, with or without fresh gauges
 REARM = 100 * MS  # alarms go on after a fault in the module
 LAST_CALL = 150 * MS  # before the process is stopped, whatever is still open is failed
 STAND = 0.01  # s between looks at what falls due while another process decides
-RESULT_OVERHEAD = 600  # bytes that one remembered run takes beyond its result
 
 
 class Owner:
@@ -62,6 +65,7 @@
         self.owed = 0
         self.result_bytes = result_bytes
         self.keys = KeyTable(slack=max(c.deadline for c in settings.classes) + SECOND, max_bytes=result_bytes)
+        self.filings = Filings(self)
         self.alarms: list[tuple[int, int]] = []
         self.backstops: list[tuple[int, str]] = []  # when each request must have been answered
         self.ringing: tuple[int, list[int]] | None = None  # alarms that wait for gauges, and until when
@@ -105,6 +109,10 @@
             return False
         return self.module_good and self.linked and (not self.standby or self.inherited_standby)
 
+    @property
+    def started_cold(self) -> bool:
+        return self.booted is not None and bool(self.booted.cold)
+
     @property
     def current(self) -> int:
         """Requests that this process took and has not answered."""
@@ -185,6 +193,7 @@
         self._handle(i.Started(), at=self.born)
         if self.leave_at is not None:
             self._handle(i.Leave(self.stop_at - self.leave_at), at=self.leave_at)
+        self.filings.teach()
 
     # ---- replacing the process: the old one's side
     def freeze(self) -> handover.State:
@@ -246,10 +255,8 @@
         begun = {r.id: r for r in state.requests if r.started}
         for token, run in self.keys.runs.items():
             run.waiters = []  # each is told of anew below
-            if run.id not in begun and token[1] in self.kinds:
-                cls = self.controller.s.classes[self.kinds[token[1]]]
-                since = max(0, self.now - (run.window_end - cls.window))
-                self._handle(i.Adopted(i.Request(run.id, self.kinds[token[1]], unread_for=since), True, True))
+            if run.id not in begun and not run.asleep and token[1] in self.kinds:
+                self.filings.adopt(token, run)
         for r in begun.values():
             self.live[r.id] = r
             self._owe(r)
@@ -281,6 +288,8 @@
 
     def _event(self, r: Inbound) -> i.Request:
         original = self.keys.original(r.token, r.arrived) if r.token else None
+        if original is not None:
+            self.filings.wake(r.token)
         return i.Request(
             id=r.id, kind=self.kinds[r.cls.name], tenant=self.tenants.get(r.tenant), key=r.key, work=r.work,
             memory_kb=r.memory_kb, rank=r.rank, retry=r.retry, write=r.write, caller=r.caller,
@@ -290,21 +299,23 @@
     def _arrived(self, m: Arrived) -> None:
         r = m.request
         if self.controller is None:  # nothing ran: the module is not up
-            return self._turn_away(r)
+            return self.turn_away(r)
         if r.id in self.live:  # an id that comes twice while the first is in hand
-            return self._turn_away(r, Reason.INTERNAL)
+            return self.turn_away(r, Reason.INTERNAL)
         # Told by the Unix clock, which may have been set since the start: only its distance from now counts.
         # A time to come would put off the due time, and the window.
         r.arrived = self.now - max(0, self.wall() - r.arrived)
         if r.arrived + r.cls.deadline <= self.now:
             # Its caller has given up. The module would take so long a wait for what all others wait now.
-            return self._turn_away(r, Reason.GIVEN_UP)
+            return self.turn_away(r, Reason.GIVEN_UP)
         if r.token is not None and not self.keys.same(r.token, r.arrived, r.fingerprint):
             # The result of the other filing would be taken for this one's, and this one lost unseen.
-            return self._turn_away(r, Reason.OTHER_CONTENT)
+            return self.turn_away(r, Reason.OTHER_CONTENT)
         if r.cls.name not in self.served_classes and \
                 (r.token is None or self.keys.original(r.token, r.arrived) is None):
-            return self._turn_away(r)  # its class is gone, and no other try of it can have run
+            return self.turn_away(r)  # its class is gone, and no other try of it can have run
+        if r.token is not None and self.filings.turned_away(r):
+            return
         self.live[r.id] = r
         self._owe(r)
         self._handle(self._event(r))
@@ -321,13 +332,8 @@
         if r is None:  # the module let it go before, or never knew that it was over
             self._handle(i.Completed(m.id, m.result.outcome, m.took))
             return
-        if r.token is not None and m.result.outcome in i.NEVER_RAN:
-            for waiter in self.keys.never_ran(r.token, r.id):
-                self.post(Joined(waiter, m.result))
-        elif r.token is not None:
-            size = len(m.result.body) + m.result.detail_bytes + RESULT_OVERHEAD
-            for waiter in self.keys.ended(r.token, r.id, m.result, size):
-                self.post(Joined(waiter, m.result))
+        if r.token is not None:
+            self.filings.ended(r, m.result)
         self._finish(r, m.result, m.took)
 
     def _joined(self, m: Joined) -> None:
@@ -335,11 +341,11 @@
         if r is not None:
             self._finish(r, m.result, self.now - r.joined_at)
 
-    def _turn_away(self, r: Inbound, reason: Reason | None = None) -> None:
+    def turn_away(self, r: Inbound, reason: Reason | None = None, backoff: int = SECOND) -> None:
         """Answers what the module never hears of: refused, or failed for a reason."""
         r.answered = True
         if reason is None:
-            self._answer(r, "deferred_total", lambda: r.responder.refused(SECOND, False))
+            self._answer(r, "deferred_total", lambda: r.responder.refused(backoff, False))
         else:
             self._answer(r, "errored_total", lambda: r.responder.failed(reason))
 
@@ -375,13 +381,19 @@
             self.log.info("standby" if m.on else "active", in_hand=self.owed)
             self._judge()
 
+    def _recorded(self, m: Recorded) -> None:
+        self.filings.recorded(m)
+
+    def _restored(self, m: Restored) -> None:
+        self.filings.restored(m)
+
     def _linked(self, m: Linked) -> None:
         self.linked = m.up
         self._judge()
 
     TAKES = {Booted: _booted, Arrived: _arrived, Gone: _gone, Ended: _ended, Joined: _joined,
              Gauges: _measured, Leaving: _leaving, Standby: _stood_by, Linked: _linked, Retuned: _retuned,
-             TakenOver: _taken_over}
+             TakenOver: _taken_over, Recorded: _recorded, Restored: _restored}
 
     # ---- time
     def _fall_due(self) -> None:
@@ -404,7 +416,7 @@
             self._ring()
         if self.now - self.swept >= SECOND:
             self.swept = self.now
-            self.keys.sweep(self.now)
+            self.filings.sweep()
 
     def _ring(self) -> None:
         tokens, self.ringing = self.ringing[1] if self.ringing else [], None
@@ -430,6 +442,10 @@
                 self.log.exception("fault in an action", action=type(action).__name__)
         return True
 
+    def tell(self, event: i.Event) -> None:
+        """An event for the module."""
+        self._handle(event)
+
     def _not_running(self, r: Inbound) -> None:
         """After a fault the module may count as running what was never started: its slot is given back."""
         if not r.started:
@@ -472,6 +488,12 @@
                 return self.post(Ended(r.id, Result(i.Outcome.FAILED), 0))
             self.keys.started(r.token, r.id, r.arrived + r.cls.window, r.fingerprint)
         r.started = True
+        if r.token is not None:
+            return self.filings.begin(r)
+        self.execute(r)
+
+    def execute(self, r: Inbound) -> None:
+        """Hands it to what runs it."""
         if not r.remote:
             self.figures.count("sends_total", r.cls.name)
         try:
@@ -482,8 +504,12 @@
 
     def _refuse(self, a: i.Refuse) -> None:
         r = self.live.get(a.id)
-        if r is not None and self._settle(r):
-            self._answer(r, "deferred_total", lambda: r.responder.refused(a.backoff, a.no_retry))
+        if r is not None:
+            self.refuse(r, a.backoff, a.no_retry)
+
+    def refuse(self, r: Inbound, backoff: int, no_retry: bool = False) -> None:
+        if self._settle(r):
+            self._answer(r, "deferred_total", lambda: r.responder.refused(backoff, no_retry))
 
     def _give_up(self, a: i.Fail) -> None:
         r = self.live.get(a.id)
@@ -500,15 +526,8 @@
 
     def _join(self, a: i.Join) -> None:
         r = self.live.get(a.id)
-        if r is None:
-            return
-        r.joined_at = self.now
-        run = self.keys.runs.get(r.token) if r.token is not None else None
-        if run is not None and run.result is None and not run.dropped:
-            run.waiters.append(r.id)
-        else:  # a run whose result was let go, for memory, can't be served again, only failed
-            found = run.result if run is not None and run.result is not None else Result(i.Outcome.FAILED)
-            self.post(Joined(r.id, found))
+        if r is not None:
+            self.filings.join(r)
 
     def _set_health(self, a: i.Health) -> None:
         self.module_good = a.good
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -17,6 +17,7 @@
     GIVEN_UP = "no answer by the due time"
     EXECUTOR = "the run failed"
     INTERNAL = "internal fault"
+    MAY_HAVE_RUN = "whether it ran is not known yet"
     OTHER_CONTENT = "the key belongs to a filing with other content"
 
 
@@ -67,6 +68,34 @@
     def leaving(self, remaining: int) -> None: ...
 
 
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """Why the journal takes no filing now: for how long (ns), or because what ran is not known yet."""
+
+    backoff: int
+    may_have_run: bool = False
+
+
+class Journal(Protocol):
+    """Keeps filings beyond the process. It never blocks, and tells by messages what has come of a call."""
+
+    def refuses(self) -> Refusal | None: ...
+
+    def begin(self, request: "Inbound", run: Any) -> None:
+        """A Recorded follows, in any case and soon."""
+        ...
+
+    def end(self, token: KeyId, run: Any, result: Result) -> None: ...
+
+    def drop(self, token: KeyId) -> None:
+        """It never ran, or its window is over."""
+        ...
+
+    def fetch(self, token: KeyId, request_id: str) -> None:
+        """A Joined follows."""
+        ...
+
+
 @dataclass(slots=True, eq=False)
 class Inbound:
     """One request that was read whole, and how far it has come."""
@@ -148,6 +177,24 @@
     on: bool
 
 
+@dataclass(slots=True)
+class Recorded:
+    """Whether a filing that was to begin is on record; if not, it is refused and may come again after
+    `backoff`."""
+
+    id: str
+    ok: bool
+    backoff: int = 0
+
+
+@dataclass(slots=True)
+class Restored:
+    """What was on record: runs by token, and what was learned."""
+
+    runs: dict[KeyId, Any]
+    learned: dict | None
+
+
 @dataclass(slots=True)
 class Linked:
     """Whether what runs the requests is within reach; a short break is not told."""
@@ -169,4 +216,5 @@
     state: Any
 
 
-Message = Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby | Linked | Retuned | TakenOver
+Message = (Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby | Recorded | Restored
+           | Linked | Retuned | TakenOver)
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -145,7 +145,7 @@
             return self._respond(result.detail.headers, result.body)  # the server's own error page
         if reason is Reason.GIVEN_UP or (result is not None and result.outcome is Outcome.TIMED_OUT):
             self.plain(HTTPStatus.GATEWAY_TIMEOUT, reason.value)
-        elif reason is Reason.EXECUTOR:
+        elif reason in (Reason.EXECUTOR, Reason.MAY_HAVE_RUN):
             self.plain(HTTPStatus.BAD_GATEWAY, reason.value)
         elif reason is Reason.OTHER_CONTENT:
             self.plain(HTTPStatus.UNPROCESSABLE_ENTITY, reason.value)
--- /dev/null
+++ b/ochrehoist/store/journal.py
@@ -0,0 +1,375 @@
+"""The core's journal: filings go on record before they begin, and come back after a restart.
+
+It lives on the loop and never waits: `Backlog` decides, a thread carries out, and the core is told by
+messages.
+"""
+
+import json
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from ochrehoist.config import StateConfig
+from ochrehoist.core import handover
+from ochrehoist.core.keys import Run
+from ochrehoist.core.owner import Owner
+from ochrehoist.core.requests import Inbound, Joined, KeyId, Recorded, Refusal, Restored, Result
+from ochrehoist.interface import Outcome
+from ochrehoist.net.loop import Loop
+from ochrehoist.settings import BadInput
+from ochrehoist.store import disk
+from ochrehoist.store.ageing import aged
+from ochrehoist.store.backlog import Backlog, Begin, Drop, End, Error, Op, Save
+from ochrehoist.store.clock import stamp_now
+from ochrehoist.store.disk import Failed, Held, Lock
+from ochrehoist.store.loss import held_for
+from ochrehoist.store.offloop import OffLoop
+from ochrehoist.store.opening import Opened, Witness, make_folder, open_folder, rewrite
+from ochrehoist.store.points import reached
+from ochrehoist.store.records import Begun, Finished, Learned, key_of
+
+SECOND = 1_000_000_000
+RETRY = 0.02  # s between two looks at a lock that the process before this one still has
+REOPEN = (0.25, 10.0)  # s until a folder that could not be opened is tried again, doubled up to the last
+LONGEST_US = 60_000_000  # the longest commit that is told apart
+FLUSH = 1.0  # s at the most for what waits, at the end of the process
+
+
+class Journal:
+    """`replacing`: another process may still have the folder, and will let go of it."""
+
+    def __init__(self, loop: Loop, owner: Owner, config: StateConfig, name: str,
+                 codec: handover.DetailCodec, log: Any, replacing: bool) -> None:
+        self.loop, self.owner, self.config, self.name = loop, owner, config, name
+        self.codec, self.log, self.folder = codec, log, Path(config.folder)
+        self.backlog = Backlog(config.commit_ms / 1000, config.stall_ms / 1000)
+        self.lock: Lock | None = None
+        self.opened: Opened | None = None
+        self.witness: Witness | None = None
+        self.learned: Learned | None = None  # the newest, as it was last put on record
+        self.hold_until = 0  # by the core's clock
+        self.timer: Any = None
+        self.released = self.stopping = self.restored = False
+        self.wait = REOPEN[0]
+        self.latency = HdrHistogram(1, LONGEST_US, 2)  # us from the first of a group to its commit
+        self.commits = self.operations = self.losses = self.refusals = 0
+        self.committed_at: float | None = None
+        self.trouble = ""  # the last error, until a commit goes well
+        self.when_restored: list[Callable[[], None]] = []
+        try:
+            make_folder(self.folder)
+            if not replacing:
+                self.lock = Lock(self.folder, name)
+        except Held as held:
+            raise BadInput(f"setting state.folder: {self.folder}: in use by {held}; stop that one first, or "
+                           "replace it: the same name and TMPDIR") from None
+        except FileNotFoundError as error:
+            raise BadInput(f"setting state.folder: {self.folder}: {error.strerror}") from None
+        except OSError as error:
+            self._in_trouble(disk.failure(error))
+        self.thread = OffLoop(loop, "journal")
+
+    # ---- taking the folder into use
+    def open(self) -> None:
+        """Told to the core by a Restored, sooner or later."""
+        longest = max((c.window for c in self.owner.settings.classes), default=0)
+        self.thread.submit(lambda: self._open(longest), self._was_opened)
+
+    def _open(self, longest: int) -> tuple[Opened, list]:
+        if self.lock is None:
+            make_folder(self.folder)
+            self.lock = Lock(self.folder, self.name)
+        opened = open_folder(self.folder, self.config.max_mb, longest, stamp_now())
+        self.witness = Witness(self.folder)
+        self.witness.write(opened.db.census.number)
+        runs = []
+        for record, left in opened.begun:
+            known = None if record.body is None else (record.target, record.body)
+            stored = key_of(record.token) in opened.finished
+            runs.append((record.token, left, Run(record.id, 0, known, dropped=True, stored=stored,
+                                                 asleep=True)))
+        return opened, runs
+
+    def _was_opened(self, found: tuple[Opened, list] | None, error: Exception | None) -> None:
+        if error is not None:
+            held = isinstance(error, Held)
+            if not held:
+                self._in_trouble(error)
+            if not self.stopping:
+                self.loop.call_later(RETRY if held else self.wait, self.open)
+                self.wait = RETRY if held else min(REOPEN[1], 2 * self.wait)
+            return
+        opened, runs = found
+        self.opened, self.trouble = opened, ""
+        for name in opened.set_aside:
+            self.log.error("a damaged store was set aside", store=name, why=opened.why)
+        if opened.why:
+            self.losses += 1
+            self.log.error("what ran before is not fully known", why=opened.why, on_loss=self.config.on_loss)
+        now = self.owner.clock()
+        self.hold_until = now + held_for(opened.loss, self.config.on_loss, stamp_now())
+        if self.hold_until > now:
+            left = (self.hold_until - now) // SECOND + 1
+            self.log.warning("filings that are not known are refused", for_s=left)
+        self.learned, lesson = opened.learned, None
+        if opened.learned is not None and opened.learned.layout == handover.LEARNED:
+            try:
+                lesson = aged(opened.learned.values, opened.learned.at, stamp_now(),
+                              int(self.config.learned_half_life_s * SECOND), self.owner.started_cold)
+            except (KeyError, TypeError, ValueError) as fault:
+                self.log.warning("what was learned can't be read", why=repr(fault))
+        restored = {}
+        for token, left, run in runs:
+            run.window_end = now + left
+            restored[token] = run
+        before = dict(self.owner.keys.runs)
+        self.backlog.open = True
+        for record in opened.stale:
+            self._add(Drop(key_of(record.token)))
+        for token, run in before.items():  # of the process before this one, whose store this is now
+            on_record = restored.get(token)
+            if on_record is None or on_record.id != run.id:
+                self._add(Begin("", key_of(token), self._begun(token, run)))
+                self.backlog.begins.pop("", None)
+            if run.result is not None and not (on_record and on_record.stored):
+                self.end(token, run, run.result)
+        self.log.info("the store is open", case=opened.case.value, filings=len(runs), stale=len(opened.stale))
+        opened.begun, opened.stale, opened.finished = [], [], set()
+        self.owner.post(Restored(restored, lesson))
+        self.restored = True
+        for call in self.when_restored:
+            call()
+        self._look()
+        self.loop.call_later(self.config.learned_every_s, self._learn)
+
+    # ---- what the core asks
+    def refuses(self) -> Refusal | None:
+        """Whether a filing that is not known can't be taken now, and what its caller is told."""
+        if not self.restored:
+            return Refusal(0, may_have_run=True)
+        if self.backlog.refuses(time.monotonic()):
+            self.refusals += 1
+            return Refusal(SECOND)
+        left = self.hold_until - self.owner.clock()
+        if left > 0:
+            self.refusals += 1
+            return Refusal(left)
+        return None
+
+    def begin(self, r: Inbound, run: Run) -> None:
+        """Told to the core by a Recorded, by the time that `stall_ms` is over."""
+        if self.backlog.refuses(time.monotonic()):
+            return self._refused([r.id])
+        reached("begin")
+        self._add(Begin(r.id, key_of(r.token), self._begun(r.token, run, r.cls.window)))
+
+    def _begun(self, token: KeyId, run: Run, window: int | None = None) -> Begun:
+        left = max(0, run.window_end - self.owner.clock())
+        target, body = run.fingerprint or (None, None)
+        return Begun(token, run.id, left if window is None else window, left, stamp_now(), target, body,
+                     self.name)
+
+    def end(self, token: KeyId, run: Run, result: Result) -> None:
+        reached("end")
+        line = json.dumps(self.codec.to_json(result.detail)).encode()
+        record = Finished(result.outcome.name, result.success, result.body, line, result.detail_bytes)
+        if len(result.body) + len(line) > self.config.max_result_kb * 1024:
+            self.backlog.not_recorded += 1
+            return
+        run.stored = self._add(End(key_of(token), record))
+
+    def drop(self, token: KeyId) -> None:
+        self._add(Drop(key_of(token)))
+
+    def fetch(self, token: KeyId, request_id: str) -> None:
+        """Told to the core by a Joined: with the result, or as failed where it can't be had."""
+        key = key_of(token)
+
+        def done(record: Finished | None, error: Exception | None) -> None:
+            self.owner.post(Joined(request_id, self._result(record) or Result(Outcome.FAILED)))
+
+        waiting = self.backlog.end_of(key)
+        if waiting is not None:
+            done(waiting, None)
+        elif self.opened is None:
+            done(None, None)
+        else:
+            self.thread.submit(lambda: self.opened.db.fetch(key), done)
+
+    def _result(self, record: Finished | None) -> Result | None:
+        with suppress(KeyError, TypeError, ValueError):
+            if record is not None:
+                return Result(Outcome[record.outcome], record.body,
+                              self.codec.from_json(json.loads(record.detail)), record.detail_bytes,
+                              record.success)
+        return None
+
+    # ---- to the disk and back
+    def _add(self, op: Op) -> bool:
+        added = self.backlog.add(time.monotonic(), op)
+        self._look()
+        return added
+
+    def _look(self) -> None:
+        """Sends what is due, and looks again in time."""
+        now = time.monotonic()
+        late = self.backlog.overdue(now)
+        if late:
+            self.log.warning("filings were not begun: the disk does not answer", count=len(late))
+            self._refused(late)
+        if self.backlog.may_rebuild(now):
+            self._rebuild(now)
+        group = self.backlog.group(now)
+        if group is not None:
+            self.thread.submit(lambda: self._commit(group), self._was_committed)
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        due = self.backlog.due(now)
+        if due is not None and not self.stopping:
+            self.timer = self.loop.call_later(due - now, self._look)
+
+    def _commit(self, group: list[Op]) -> int:
+        reached("commit")
+        number = self.opened.db.commit(group)
+        reached("committed")
+        self.witness.write(number)
+        self.opened.db.tidy()
+        return len(group)
+
+    def _was_committed(self, count: int | None, error: Exception | None) -> None:
+        now = time.monotonic()
+        if error is not None:
+            self._in_trouble(error)
+            failed = error.error if isinstance(error, Failed) else Error.IO
+            self._refused(self.backlog.failed(now, failed))
+            return self._look()
+        if self.trouble:
+            self.log.info("the store works again")
+            self.trouble = ""
+        self.commits, self.operations, self.committed_at = self.commits + 1, self.operations + count, now
+        self.latency.record_value(min(LONGEST_US, max(1, int((now - self.backlog.sent_at) * 1e6))))
+        for request_id in self.backlog.committed():
+            reached("recorded")
+            self.owner.post(Recorded(request_id, True))
+        self._look()
+
+    def _refused(self, ids: list[str]) -> None:
+        for request_id in ids:
+            self.owner.post(Recorded(request_id, False, SECOND))
+
+    def _rebuild(self, now: float) -> None:
+        """From what the core knows: what the disk still shows may not be there after the next power cut."""
+        begun = [self._begun(token, run) for token, run in self.owner.keys.runs.items()
+                 if run.result is not None or run.dropped or run.id in self.owner.live]
+        loss, learned = self.opened.loss, self.learned
+        self.backlog.rebuilding(now)
+        self.thread.submit(lambda: rewrite(self.opened, self.config.max_mb, begun, loss, learned),
+                           self._was_rebuilt)
+
+    def _was_rebuilt(self, db: Any, error: Exception | None) -> None:
+        if error is not None:
+            self._in_trouble(error)
+            self._refused(self.backlog.failed(time.monotonic(), Error.IO))
+        else:
+            self.witness.write(db.census.number)
+            self.backlog.rebuilt()
+            self.log.warning("the store was written anew", set_aside=self.opened.set_aside[-1])
+            self.trouble = ""
+        self._look()
+
+    def _in_trouble(self, error: Exception) -> None:
+        if str(error) != self.trouble:
+            self.trouble = str(error)
+            self.log.error("the store can't be used: filings are refused, all else goes on", why=str(error))
+
+    # ---- what was learned
+    def _learn(self) -> None:
+        if self.stopping or self.released:
+            return
+        self.save_learned()
+        self.loop.call_later(self.config.learned_every_s, self._learn)
+
+    def save_learned(self) -> None:
+        if self.owner.controller is not None and self.restored:
+            self.learned = Learned(stamp_now(), handover.learned(self.owner.controller), handover.LEARNED)
+            self._add(Save(disk.LEARNED, self.learned))
+
+    # ---- the end
+    def release(self) -> None:
+        """Another process decides now: writes what waits, and lets go of the folder."""
+        self.released = True
+        self._flush_until(time.monotonic() + FLUSH)
+
+    def _flush_until(self, until: float) -> None:
+        self._look()
+        if len(self.backlog) and time.monotonic() < until:
+            self.loop.call_later(0.002, lambda: self._flush_until(until))
+        else:
+            self.backlog.open = False
+            self.thread.submit(self._let_go, lambda _, error: self.log.info("the store was let go"))
+
+    def _let_go(self) -> None:
+        if self.opened is not None:
+            self.opened.db.close()
+            self.opened = None
+        if self.witness is not None:
+            self.witness.close()
+            self.witness = None
+        if self.lock is not None:
+            self.lock.release()
+
+    def close(self) -> None:
+        """At the end of the process, when the loop no longer runs."""
+        if not self.released:
+            self.save_learned()
+            until = time.monotonic() + FLUSH
+            while len(self.backlog) and self.backlog.open and self.backlog.error is None \
+                    and time.monotonic() < until:
+                self._look()
+                self.thread._told()
+                time.sleep(0.001)
+        self.stopping = True
+        self.thread.submit(self._let_go, lambda *_: None)
+        if not self.thread.close(FLUSH):
+            self.log.error("the disk does not answer: what waits is not on record", count=len(self.backlog))
+
+    # ---- for operators
+    def view(self) -> dict[str, Any]:
+        now, hold = time.monotonic(), max(0, self.hold_until - self.owner.clock())
+        size = 0
+        with suppress(OSError):
+            size = sum(p.stat().st_size for p in self.folder.glob(disk.db_name() + "*") if "." not in
+                       p.name[len(disk.db_name()):])
+        return {"folder": str(self.folder), "open": self.backlog.open, "bytes": size,
+                "refuses": self.backlog.refuses(now) or ("a loss" if hold else ""), "hold_s": hold // SECOND,
+                "trouble": self.trouble, "waiting": len(self.backlog), "commits": self.commits,
+                "operations": self.operations, "refused": self.refusals,
+                "last_commit_s": None if self.committed_at is None else round(now - self.committed_at, 1),
+                "commit_ms": {name: round(self.latency.get_value_at_percentile(p) / 1000, 2)
+                              for name, p in (("p50", 50), ("p99", 99), ("max", 100))},
+                "losses": self.losses, "not_recorded": self.backlog.not_recorded,
+                "set_aside": [] if self.opened is None else self.opened.set_aside}
+
+    def figures(self) -> str:
+        """Lines in the exposition format, behind those of the core."""
+        view = self.view()
+        lines = []
+        for name, kind, value in (
+                ("store_bytes", "gauge", view["bytes"]), ("store_waiting", "gauge", view["waiting"]),
+                ("store_open", "gauge", int(view["open"])),
+                ("store_refusing", "gauge", int(bool(view["refuses"]))),
+                ("store_commits_total", "counter", self.commits),
+                ("store_operations_total", "counter", self.operations),
+                ("store_losses_total", "counter", self.losses),
+                ("store_not_recorded_total", "counter", self.backlog.not_recorded)):
+            lines += [f"# TYPE app_{name} {kind}", f"app_{name} {value}"]
+        lines.append("# TYPE app_store_commit_seconds summary")
+        lines += [f'app_store_commit_seconds{{quantile="{p / 100}"}} '
+                  f"{self.latency.get_value_at_percentile(p) / 1e6}" for p in (50, 90, 99, 99.9)]
+        lines.append(f"app_store_commit_seconds_count {self.latency.get_total_count()}")
+        return "\n".join(lines) + "\n"
--- a/ochrehoist/worker.py
+++ b/ochrehoist/worker.py
@@ -6,7 +6,9 @@
 import time
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
+from typing import Any
 
+from ochrehoist import config as configuration
 from ochrehoist.config import Config
 from ochrehoist.core.figures import CONTENT_TYPE
 from ochrehoist.core.owner import Owner
@@ -30,6 +32,7 @@
 RESULT_SHARE = 0.15  # of the process memory, for the results of filings
 BODY_SHARE = 0.12  # of it, for AJP bodies coming in, for responses being read, and for those not yet sent
 UNSENT_SHARE = 0.06  # of it, for answers that routers have not taken yet
+RESTORE = 3.0  # s at the most that clients wait for what was on record
 LEAST = 8  # connections that a front may have at once, whatever the process before this one still holds
 RESERVED = 24  # descriptors for all that is no accepted connection
 SERVICE = Service.max_open + 1  # and for the operators' address and the agent checks, each, where they are on
@@ -54,6 +57,7 @@
         takers: list[Callable[[Config], None]] = []  # parts that take a configuration read again
         room = config.sockets - RESERVED - SERVICE * sum(a is not None for a in (config.admin, config.agent))
         self.kernel: Kernel | None = None
+        self.journal: Any = None
 
         def inherited(address: tuple[str, int]) -> socket.socket | None:
             return (self.inherited or {}).get(address)
@@ -110,6 +114,12 @@
         self.reloading = Reloading(loop, owner, config, path, takers, self.kernel, self.log)
         if self.kernel:
             self.tasks.append(self.reloading.watch_link)
+        if config.state:
+            # Its libraries are for those who want it: the platform's worker stays without them.
+            from ochrehoist.store.journal import Journal
+
+            self.journal = owner.filings.journal = Journal(
+                loop, owner, config.state, config.name, ReplyCodec(), self.log, self.inherited is not None)
         self.ending = Ending(loop, owner, self.fronts, config.stop_ms, self.log)
         self.room = {front: front.listening.limit for front in self.fronts}
         if config.link:
@@ -128,8 +138,10 @@
             self.loop.on_signal(signal.SIGINT, self.ending.leave)
         for task in self.tasks:
             self.loop.spawn(task)
-        if self.predecessor is None:
+        if self.predecessor is None and self.journal is None:
             self._serve()
+        elif self.predecessor is None:
+            self._restore()
         for part in self.listeners:
             if isinstance(part, Operators) and part.listening.address not in self.handed:
                 part.listening.start()  # it says from the start that it is not ready
@@ -137,6 +149,8 @@
         self.loop.run()
         if self.successors:
             self.successors.close()
+        if self.journal:
+            self.journal.close()
         f = self.owner.figures
         self.log.info("ended", served=f.total("answered_total"), refused=f.total("deferred_total"),
                       failed=f.total("errored_total"))
@@ -152,12 +166,15 @@
                   "keys": len(o.keys.runs), "result_bytes": o.keys.bytes, "log_dropped": self.sink.dropped,
                   "connections": {type(f).__name__: len(f.connections) for f in self.fronts},
                   "configuration": self.reloading.view()}
+        if self.journal:
+            values["store"] = self.journal.view()
         if self.kernel:
             values["kernel"] = self.kernel.view()
         return said(values, HTTPStatus.OK if o.ready else HTTPStatus.SERVICE_UNAVAILABLE)
 
     def metrics(self) -> Answer:
-        return Answer(HTTPStatus.OK, self.owner.figures.text(self.owner.current).encode(), CONTENT_TYPE)
+        text = self.owner.figures.text(self.owner.current) + (self.journal.figures() if self.journal else "")
+        return Answer(HTTPStatus.OK, text.encode(), CONTENT_TYPE)
 
     def standby(self, on: bool) -> Answer:
         self.owner.post(Standby(on))
@@ -173,12 +190,30 @@
             return
         self.predecessor = Predecessor(
             self.loop, self.owner, path, codec, lambda: [p.listening.address for p in self.listeners],
-            self._serve, self._make_way, self.log)
+            self._took_over, self._make_way, self.log)
         self.tasks.append(self.predecessor.run)
 
+    def _took_over(self) -> None:
+        self._serve()
+        if self.journal:
+            self.journal.open()
+
     def _sockets(self) -> dict[str, socket.socket]:
         return {type(p).__name__: p.listening.sock for p in self.listeners if not p.listening.stopped}
 
+    def _restore(self) -> None:
+        """Clients wait in the queue until what ran before is known, but not for long: reads need none of
+        it."""
+        waiting = [self._serve]
+
+        def serve() -> None:
+            while waiting:
+                waiting.pop()()
+
+        self.journal.when_restored.append(serve)
+        self.loop.call_later(RESTORE, serve)
+        self.journal.open()
+
     def _serve(self) -> None:
         """No other process decides: this one takes what comes."""
         for part in self.listeners:
@@ -195,6 +230,8 @@
                 part.listening.stop(leave_queue=True)
         if self.members:
             self.members.stop()
+        if self.journal:
+            self.journal.release()
         self.ending.retire(self.successors.holds)
 
     def _make_way(self, held: Mapping[str, int]) -> None:
@@ -202,3 +239,13 @@
         for front in self.fronts:
             used = held.get(type(front).__name__, 0) if self.predecessor and held else 0
             front.listening.set_limit(max(LEAST, self.room[front] - used - (RESERVED // 2 if held else 0)))
+
+
+def serve(path: str | None) -> int:
+    """Serves until it is told to leave. Raises BadInput, which names the key."""
+    config = configuration.load(path)
+    try:
+        worker = Worker(config, path)
+    except OSError as error:
+        raise BadInput(f"setting listen, or an address of the console: {error}") from None
+    return worker.run()
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -459,15 +459,15 @@
 
     def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, fault=None,
                  stall_log=False, boot=True, passed=False, before=None, appliance=None, inherits=None,
-                 kernel=None, **more):
+                 kernel=None, state=None, server=None, **more):
         """With `before`, it is started beside that program to replace it. `passed`: its socket stays here.
 
         `inherits` is called in the new process before the program, as a parent that leaves signals changed.
         """
         self.folder = before.folder if before else tempfile.TemporaryDirectory()
         self.passed = before.passed if before else socket.create_server(("127.0.0.1", 0)) if passed else None
-        self.kernel, self.members, self.server = kernel or Kernel(), Members(), AjpServer()
-        self.kernel.boots = boot
+        self.kernel, self.members, self.server = kernel or Kernel(), Members(), server or AjpServer()
+        self.kernel.boots, self.kept = boot, (kernel, server)  # who gives them closes them
         site, limits = site or settings(), {"memory_mb": 64, "sockets": sockets}
         env = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "OCHREHOIST_"))}
         env["TMPDIR"] = self.folder.name
@@ -482,6 +482,7 @@
         top = {"name": "n1", "stop_ms": stop_ms, "limits": limits, "admin": "127.0.0.1:0"}
         if ajp:
             whole = top | {"ajp": front, "console": {"agent_check": "127.0.0.1:0"}, "settings": site}
+            whole |= {"state": state} if state else {}
             env["OCHREHOIST_AJP"] = self.file("ajp.toml", appliance or toml_file(whole))
             self.appliance = whole
         if thrift:
@@ -586,7 +587,8 @@
         self.reader.join(PATIENCE)
         self.process.stderr.close()
         for part in (self.kernel, self.members, self.server):
-            part.close()
+            if part not in self.kept:
+                part.close()
         if self.passed:
             self.passed.close()
         if Path(self.folder.name).exists():
