--- a/ochrehoist/store/disk.py
+++ b/ochrehoist/store/disk.py
@@ -39,6 +39,7 @@
 )
 
 PAGE = 4096
+TRIES, PAUSE = 3, 0.01  # looks at a lock, and s between them
 AT_ONCE = 256  # rows of one statement
 CHECKPOINT = 256  # pages of the log after which they are moved into the database
 MARKER, WITNESS, LOCK, NEW = "store.json", "witness", "owner.lock", ".new"
@@ -140,12 +141,17 @@
     def __init__(self, folder: Path, name: str, ask: bool = False) -> None:
         """`ask`: only to learn whether it could be had; the name in it stays."""
         self.fd = os.open(folder / LOCK, os.O_CREAT | os.O_RDWR, 0o600)
-        try:
-            fcntl.flock(self.fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            holder = os.pread(self.fd, 512, 0).decode("utf-8", "replace").strip()
-            os.close(self.fd)
-            raise Held(holder or "another process") from None
+        for left in range(TRIES, 0, -1):
+            try:
+                fcntl.flock(self.fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                break
+            except OSError:
+                if left > 1:  # it may only be a command that asks
+                    time.sleep(PAUSE)
+                    continue
+                holder = os.pread(self.fd, 512, 0).decode("utf-8", "replace").strip()
+                os.close(self.fd)
+                raise Held(holder or "another process") from None
         if ask:
             return
         with suppress(OSError):  # a full disk: the lock holds all the same
--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -35,6 +35,7 @@
 
 SECOND = 1_000_000_000
 RETRY = 0.02  # s between two looks at a lock that the process before this one still has
+LONG = 3.0  # s after which waiting for it is worth a line in the log
 REOPEN = (0.25, 10.0)  # s until a folder that could not be opened is tried again, doubled up to the last
 LONGEST_US = 60_000_000  # the longest commit that is told apart
 FLUSH = 1.0  # s at the most for what waits, at the end of the process
@@ -61,6 +62,7 @@
         self.committed_at: float | None = None
         self.bytes = 0  # on disk, as of the last commit
         self.trouble = ""  # the last error, until a commit goes well
+        self.asked_at = time.monotonic()  # for the folder
         self.when_restored: list[Callable[[], None]] = []
         try:
             make_folder(self.folder)
@@ -78,14 +80,20 @@
     # ---- taking the folder into use
     def open(self) -> None:
         """Told to the core by a Restored, sooner or later."""
+        self.asked_at = time.monotonic()
+        self._open_again()
+
+    def _open_again(self) -> None:
         longest = max((c.window for c in self.owner.settings.classes), default=0)
         gc.disable()  # what is taken up stays: looking through it meanwhile takes as long again
         self.thread.submit(lambda: self._open(longest), self._was_opened)
 
     def _open(self, longest: int) -> tuple[Opened, dict[KeyId, Run]]:
+        reached("open")
         if self.lock is None:
             make_folder(self.folder)
             self.lock = Lock(self.folder, self.name)
+        reached("opened")
         opened = open_folder(self.folder, self.config.max_mb, longest, stamp_now())
         self.witness = Witness(self.folder)
         self.witness.write(opened.db.census.number)
@@ -104,8 +112,10 @@
             held = isinstance(error, Held)
             if not held:
                 self._in_trouble(error)
+            elif time.monotonic() - self.asked_at > LONG:
+                self._in_trouble(Held(f"waits for the folder: in use by {error}"))
             if not self.stopping:
-                self.loop.call_later(RETRY if held else self.wait, self.open)
+                self.loop.call_later(RETRY if held else self.wait, self._open_again)
                 self.wait = RETRY if held else min(REOPEN[1], 2 * self.wait)
             return
         opened, restored = found
@@ -319,6 +329,7 @@
             self.thread.submit(self._let_go, lambda _, error: self.log.info("the store was let go"))
 
     def _let_go(self) -> None:
+        reached("release")
         if self.opened is not None:
             self.opened.db.close()
             self.opened = None
@@ -327,6 +338,7 @@
             self.witness = None
         if self.lock is not None:
             self.lock.release()
+        reached("released")
 
     def close(self) -> None:
         """At the end of the process, when the loop no longer runs."""
@@ -336,7 +348,7 @@
             while len(self.backlog) and self.backlog.open and self.backlog.error is None \
                     and time.monotonic() < until:
                 self._look()
-                self.thread._told()
+                self.thread.tell()
                 time.sleep(0.001)
         self.stopping = True
         self.thread.submit(self._let_go, lambda *_: None)
--- a/ochrehoist/store/offloop.py
+++ b/ochrehoist/store/offloop.py
@@ -16,7 +16,7 @@
     def __init__(self, loop: Loop, name: str) -> None:
         self.loop, self.calls, self.ends = loop, SimpleQueue(), deque()
         self.wake = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
-        loop.on_readable(self.wake, self._told)
+        loop.on_readable(self.wake, self.tell)
         self.thread = threading.Thread(target=self._run, name=name, daemon=True)
         self.thread.start()
 
@@ -34,7 +34,8 @@
             self.ends.append(end)
             os.eventfd_write(self.wake, 1)
 
-    def _told(self) -> None:
+    def tell(self) -> None:
+        """Tells the ends that are there, on the thread of the loop."""
         try:
             os.eventfd_read(self.wake)
         except BlockingIOError:
@@ -50,5 +51,5 @@
         """Ends it once all calls are made; whether that was in time. Ends that are not told yet are told."""
         self.calls.put(None)
         self.thread.join(timeout)
-        self._told()
+        self.tell()
         return not self.thread.is_alive()
--- /dev/null
+++ b/tests/test_filings.py
@@ -0,0 +1,204 @@
+"""The core between its module and a journal: what begins, what is refused, what a restart gives back."""
+
+import unittest
+from types import SimpleNamespace
+
+from ochrehoist import interface as i
+from ochrehoist.core.handover import learned
+from ochrehoist.core.keys import Run
+from ochrehoist.core.owner import Owner
+from ochrehoist.core.requests import (
+    Arrived,
+    Booted,
+    Ended,
+    Gone,
+    Inbound,
+    Joined,
+    Reason,
+    Recorded,
+    Refusal,
+    Restored,
+    Result,
+    Retuned,
+)
+
+S = 10**9
+FILING = i.RequestClass(name="filing", aim=2 * S, deadline=5 * S, repeat=i.Repeat.KEYED, window=20 * S)
+READ = i.RequestClass(name="read", aim=2 * S, deadline=5 * S, repeat=i.Repeat.SAFE)
+
+
+def settings(*classes, **more):
+    return i.Settings(classes=classes or (FILING, READ), cores=2, memory_kb=1e6, tip_multiple=5.0, fall=2 * S,
+                      tenants=(i.Tenant("acme", 50.0, 1.0),), max_backoff=S, **more)
+
+
+class Book:
+    """A journal that writes down what it is told."""
+
+    def __init__(self):
+        self.told, self.refusal = [], None
+
+    def refuses(self):
+        return self.refusal
+
+    def begin(self, r, run):
+        self.told.append(("begin", r.id))
+
+    def end(self, token, run, result):
+        run.stored = True
+        self.told.append(("end", token[2], result.body))
+
+    def drop(self, token):
+        self.told.append(("drop", token[2]))
+
+    def fetch(self, token, request_id):
+        self.told.append(("fetch", token[2], request_id))
+
+
+class Filed(unittest.TestCase):
+    def setUp(self):
+        self.now, self.ends, self.started, self.n = 1000 * S, {}, [], 0
+        quiet = SimpleNamespace(info=self.said, warning=self.said, error=self.said, exception=self.fault)
+        waker = SimpleNamespace(set=lambda: None)
+        self.owner = Owner(settings(), 1, waker, lambda: self.now, lambda: self.now, quiet, 10**6,
+                           lambda: None)
+        self.book = self.owner.filings.journal = Book()
+        self.do(Booted(None, 0))
+
+    def said(self, *args, **more):
+        pass
+
+    def fault(self, event, **more):
+        raise AssertionError((event, more))
+
+    def do(self, *messages):
+        for message in messages:
+            self.owner.post(message)
+        self.owner.step()
+
+    def arrive(self, key="k", cls=FILING, retry=False):
+        self.n += 1
+        rid = f"r{self.n}"
+        ends = self.ends.setdefault(rid, [])
+        responder = SimpleNamespace(
+            served=lambda result: ends.append(("served", result.body)),
+            refused=lambda backoff, no_retry: ends.append(("refused", backoff)),
+            failed=lambda reason, result=None: ends.append(("failed", reason)))
+        executor = SimpleNamespace(start=lambda r: self.started.append(r.id))
+        token = ("acme", cls.name, key) if cls is FILING else None
+        self.do(Arrived(Inbound(
+            rid, cls, self.now, None, responder, executor, "acme", token=token, retry=retry,
+            fingerprint=(None, b"x") if token else None, work=10**7, memory_kb=10.0)))
+        return rid
+
+    def running(self):
+        return self.owner.controller.cores
+
+    def test_a_filing_begins_once_it_is_on_record_and_a_read_at_once(self):
+        filing, read = self.arrive(), self.arrive(cls=READ)
+        self.assertEqual((self.started, self.book.told), ([read], [("begin", filing)]))
+        self.do(Recorded(filing, True))
+        self.do(Recorded(filing, True))
+        self.assertEqual(self.started, [read, filing])
+        self.do(Ended(filing, Result(i.Outcome.OK, b"done"), S))
+        self.assertEqual(self.book.told[1:], [("end", "k", b"done")])
+        self.assertEqual(self.ends[filing], [("served", b"done")])
+
+    def test_one_that_can_not_be_recorded_is_refused_with_its_repeats_and_its_slot_is_free(self):
+        first = self.arrive()
+        repeat = self.arrive(retry=True)
+        self.assertEqual(self.running(), 1)
+        self.do(Recorded(first, False, S))
+        self.assertEqual((self.ends[first], self.ends[repeat]), ([("refused", S)], [("refused", S)]))
+        self.assertEqual((self.running(), self.owner.live, self.started), (0, {}, []))
+        self.assertEqual(self.book.told, [("begin", first), ("drop", "k")])
+        again = self.arrive()
+        self.do(Recorded(again, True))
+        self.assertEqual(self.started, [again])
+
+    def test_one_whose_caller_has_left_meanwhile_is_not_begun_but_for_a_repeat(self):
+        left = self.arrive()
+        self.do(Gone(left), Recorded(left, True))
+        self.assertEqual((self.started, self.running()), ([], 0))
+        self.assertEqual(self.book.told[-1], ("drop", "k"))
+        left = self.arrive("other")
+        repeat = self.arrive("other", retry=True)
+        self.do(Gone(left), Recorded(left, True))
+        self.assertEqual(self.started, [left])
+        self.do(Ended(left, Result(i.Outcome.OK, b"done"), S))
+        self.assertEqual(self.ends[repeat], [("served", b"done")])
+
+    def test_what_never_ran_is_taken_out_again(self):
+        filing = self.arrive()
+        self.do(Recorded(filing, True), Ended(filing, Result(i.Outcome.UNREACHABLE), 0))
+        self.assertEqual(self.book.told[-1], ("drop", "k"))
+
+    def test_while_the_journal_refuses_only_what_is_not_known_is_turned_away(self):
+        done = self.arrive("done")
+        self.do(Recorded(done, True), Ended(done, Result(i.Outcome.OK, b"done"), S))
+        for refusal, end in ((Refusal(7 * S), ("refused", 7 * S)),
+                             (Refusal(0, may_have_run=True), ("failed", Reason.MAY_HAVE_RUN))):
+            self.book.refusal = refusal
+            self.assertEqual(self.ends[self.arrive("new")], [end])
+            self.assertEqual(self.ends[self.arrive("done", retry=True)], [("served", b"done")])
+            read = self.arrive(cls=READ)
+            self.assertEqual(self.started[-1], read)
+
+    def restore(self, **more):
+        runs = {("acme", "filing", key): Run(f"old {key}", self.now + 9 * S, (None, b"x"), dropped=True,
+                                             asleep=True, **values) for key, values in more.items()}
+        self.do(Restored(runs, None))
+
+    def test_after_a_restart_results_are_fetched_and_what_may_have_run_fails(self):
+        self.restore(ended={"stored": True}, begun={})
+        self.assertEqual(len(self.owner.controller.keys), 0)  # the module hears of none yet
+        ended, begun = self.arrive("ended", retry=True), self.arrive("begun", retry=True)
+        self.assertEqual(self.book.told, [("fetch", "ended", ended)])
+        self.assertEqual(self.ends[begun], [("failed", Reason.EXECUTOR)])
+        self.do(Joined(ended, Result(i.Outcome.OK, b"kept")))
+        self.assertEqual(self.ends[ended], [("served", b"kept")])
+        self.assertEqual((self.started, len(self.owner.controller.keys)), ([], 2))
+        self.assertEqual(self.ends[self.arrive("begun", retry=True)], [("failed", Reason.EXECUTOR)])
+        self.assertEqual(len(self.owner.controller.keys), 2)
+
+    def test_what_came_before_the_store_was_read_goes_before_it(self):
+        mine = self.arrive("k")
+        self.do(Recorded(mine, True))
+        self.restore(k={"stored": True})
+        self.do(Ended(mine, Result(i.Outcome.OK, b"mine"), S))
+        self.assertEqual(self.ends[mine], [("served", b"mine")])
+
+    def test_restored_filings_outlive_new_settings_without_their_class_and_expire(self):
+        self.restore(k={"stored": True})
+        self.do(Retuned(settings(READ)))
+        self.do(Retuned(settings()))
+        self.arrive("k", retry=True)
+        self.assertEqual(self.book.told[-1][:2], ("fetch", "k"))
+        self.restore(late={})
+        self.now += 60 * S
+        self.do()
+        self.assertIn(("drop", "late"), self.book.told)
+        self.assertNotIn(("acme", "filing", "late"), self.owner.keys.runs)
+
+    def test_what_was_learned_is_taught_at_once_or_when_the_module_comes_up(self):
+        for n in range(6):
+            rid = self.arrive(f"k{n}")
+            self.do(Recorded(rid, True))
+            self.now += 300_000_000
+            self.do(Ended(rid, Result(i.Outcome.OK), 300_000_000))
+        lesson = learned(self.owner.controller)
+        taught = self.owner.controller.took[0].value
+        for late in (False, True):
+            self.setUp()
+            fresh = self.owner.controller.took[0].value
+            self.assertNotEqual(fresh, taught)
+            if late:
+                self.owner.controller, self.owner.booted = None, None
+            self.do(Restored({}, lesson))
+            if late:
+                self.do(Booted(None, 0))
+            self.assertEqual(self.owner.controller.took[0].value, taught)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -13,7 +13,7 @@
 from machine import Machine
 from stand_ins import MS, PATIENCE, Program, run, settings, toml_file
 
-from ochrehoist.store.points import POINTS
+from ochrehoist.store.points import HANDOVER, POINTS
 
 KILLS = int(os.environ.get("KILLS", "12"))
 KILL_AT = """
@@ -421,6 +421,44 @@
                 self.assertEqual(old.server.got.qsize(), 0)
 
 
+    def test_either_may_die_at_each_moment_of_handing_the_store_over(self):
+        for point in HANDOVER:
+            dying = "new" if point.startswith("open") else "old"
+            with self.subTest(point):
+                shutil.rmtree(self.folder, ignore_errors=True)
+                fault = {"fault": KILL_AT.format(point=point, nth=1)}
+                old = self.start(**(fault if dying == "old" else {}))
+                client, busy = old.ajp(), old.ajp()
+                self.file(client, "done")
+                old.server.next()[2](data=b"by the old")
+                client.answer()
+                self.file(busy, "running")
+                old.server.next()
+                self.recorded(old, 3)
+                # One file serves both as they start: what the old one has read stays with it.
+                Path(old.folder.name, "sitecustomize.py").unlink(missing_ok=True)
+                new = self.start(before=old, server=old.server, **(fault if dying == "new" else {}))
+                gone, left = (old, new) if dying == "old" else (new, old)
+                self.assertEqual(gone.process.wait(PATIENCE), -signal.SIGKILL)
+                if left is new:
+                    new.took_over()
+                    self.until(lambda new=new: self.store(new)["open"])
+                    client = new.ajp()
+                    self.file(client, "done")
+                    self.assertEqual(client.answer()[2], b"by the old")
+                    self.file(client, "running")
+                    self.assertIn(client.answer()[0], (502, 504))
+                self.kill(left)
+                Path(old.folder.name, "sitecustomize.py").unlink(missing_ok=True)
+                third = self.start(server=old.server)
+                client = third.ajp()
+                self.file(client, "done")
+                self.assertEqual(client.answer()[2], b"by the old")
+                self.file(client, "running")
+                self.assertEqual(client.answer()[0], 502)
+                self.assertEqual(old.server.got.qsize(), 0)
+
+
 class Tools(State):
     def state(self, *words):
         return run("state", *words, "--folder", str(self.folder))
