Finish a rewrite of the store that was cut off between its two renames

Cause: a store written anew, after a failed sync or by import and compact, waits under .anew, while recovery at the next start looked for .new alone: a process that died between the renames came back to a loss and held filings.

Change: both names are looked for, by one constant; what is older than its witness is still not taken. RESULT_OVERHEAD is imported from where it stands.

Measured: the extended test of an unfinished swap passes, with those of the store's files, the core's filings, replacement and reload (47 tests).

--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -12,7 +12,7 @@
 from ochrehoist import interface as i
 from ochrehoist.core import handover
 from ochrehoist.core.figures import Figures
-from ochrehoist.core.filings import RESULT_OVERHEAD, Filings
+from ochrehoist.core.filings import Filings
 from ochrehoist.core.forwarder import Forwarder
 from ochrehoist.core.keys import KeyTable
 from ochrehoist.core.requests import (
@@ -38,7 +38,6 @@
 )
 from ochrehoist.rules import AdmissionController
 
-__all__ = ["RESULT_OVERHEAD", "Owner"]
 MS = 1_000_000
 SECOND = 1000 * MS
 RING_WAIT = 25 * MS  # an alarm rings so long after it fell due at the latest, with or without fresh gauges
--- a/ochrehoist/net/link.py
+++ b/ochrehoist/net/link.py
@@ -17,8 +17,9 @@
 from typing import Any
 
 from ochrehoist.core import handover
+from ochrehoist.core.filings import RESULT_OVERHEAD
 from ochrehoist.core.forwarder import Forwarder
-from ochrehoist.core.owner import RESULT_OVERHEAD, Owner
+from ochrehoist.core.owner import Owner
 from ochrehoist.core.requests import Arrived, Ended, Gone, Result, Standby, TakenOver
 from ochrehoist.interface import Outcome
 from ochrehoist.net.loop import Loop, Signal
--- a/ochrehoist/store/disk.py
+++ b/ochrehoist/store/disk.py
@@ -43,6 +43,7 @@
 AT_ONCE = 256  # rows of one statement
 CHECKPOINT = 256  # pages of the log after which they are moved into the database
 MARKER, WITNESS, LOCK, NEW = "store.json", "witness", "owner.lock", ".new"
+ANEW = ".anew"  # a whole store that is about to take the place of one that is there
 NAME = re.compile(r"state-(\d+)\.db")
 CENSUS, LOSS, LEARNED = "census", "loss", "learned"
 SCHEMA = """
--- a/ochrehoist/store/opening.py
+++ b/ochrehoist/store/opening.py
@@ -73,14 +73,15 @@
 
 def _unfinished_swap(path: Path, witness: int | None) -> None:
     """A new store that was whole when the process died, just before it took the old one's place."""
-    new = path.with_name(path.name + disk.NEW)
-    if path.exists() or not new.exists():
-        return
-    with suppress(Failed):
-        contents = _read(new)
-        if judge(contents.seen(True, None, witness)).case is Case.SOUND:
-            os.replace(new, path)
-            disk.sync_folder(path.parent)
+    for ending in (disk.ANEW, disk.NEW):
+        new = path.with_name(path.name + ending)
+        if path.exists() or not new.exists():
+            continue
+        with suppress(Failed):
+            contents = _read(new)
+            if judge(contents.seen(True, None, witness)).case is Case.SOUND:
+                os.replace(new, path)
+                disk.sync_folder(path.parent)
 
 
 def _results(paths: Iterable[Path]) -> list[tuple[bytes, bytes]]:
@@ -188,7 +189,7 @@
     results = list(opened.db.all_finished())
     try:
         opened.db.close()
-        new = path.with_name(path.name + ".anew")
+        new = path.with_name(path.name + disk.ANEW)
         disk.fill(new, number, begun, results, {disk.LOSS: loss, disk.LEARNED: learned})
         opened.set_aside.append(disk.set_aside(path, "failed"))
         os.replace(new, path)
--- a/ochrehoist/store/tool.py
+++ b/ochrehoist/store/tool.py
@@ -127,7 +127,7 @@
         opened.db.close()
         both = merged(here, come or Moved(now, []), now)
         path = folder / disk.db_name()
-        new = path.with_name(path.name + ".anew")
+        new = path.with_name(path.name + disk.ANEW)
         disk.fill(new, number, [begun for begun, _ in both.filings],
                   [(key_of(begun.token), pack(key_of(begun.token), end))
                    for begun, end in both.filings if end is not None],
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -265,9 +265,11 @@
 
     def test_a_swap_that_was_not_finished_is_finished(self):
         known = self.written()
-        os.replace(self.path, self.path.with_name(self.path.name + disk.NEW))
-        opened = self.open()
-        self.assertEqual((opened.case, len(opened.begun)), (Case.SOUND, len(known)))
+        for ending in (disk.NEW, disk.ANEW):
+            os.replace(self.path, self.path.with_name(self.path.name + ending))
+            opened = self.open()
+            self.assertEqual((opened.case, len(opened.begun)), (Case.SOUND, len(known)))
+            opened.db.close()
 
     def test_the_lock_names_its_holder_and_is_free_once_let_go(self):
         lock = Lock(self.folder, "n1")
