Run the tests side by side, the proofs of the store where a sync takes no time

Proofs of order and loss need no real disk: a kill loses no page of the file cache, and the power cuts lose what their own layer was not asked to sync. Their folders are in memory now where there is such a place; the tests of plain restarts stay on a real disk. pytest-xdist runs six tests at a time, each with its own ports and folders.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,9 @@
 
 KILLS ?= 2000
 
+# Test files side by side: the tests wait far more than they work, so also on a machine of one core.
+JOBS ?= 6
+
 .PHONY: build lint test stress kills run
 
 build: $(VENV)/installed $(VENV)/installed-dev
@@ -29,7 +32,7 @@
 	$(VENV)/bin/ruff check ochrehoist tests benchmarks
 
 test: lint
-	$(VENV)/bin/python -m pytest -q
+	$(VENV)/bin/python -m pytest -q -n $(JOBS)
 
 stress: build
 	RELOADS=$(RELOADS) SEED=$(SEED) $(VENV)/bin/python -m pytest -q tests/test_reload_stress.py
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -17,6 +17,8 @@
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 10  # s after which a wait has failed
+# Where a sync takes no time, if there is such a place: most proofs of the store are of order, not of the disk.
+MEMORY = "/dev/shm" if os.access("/dev/shm", os.W_OK) else None
 MS = 1_000_000
 
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -11,7 +11,7 @@
 
 from filing_clerk import Kills, site
 from machine import Machine
-from stand_ins import MS, PATIENCE, Program, run, settings, toml_file
+from stand_ins import MEMORY, MS, PATIENCE, Program, run, settings, toml_file
 
 from ochrehoist.store.points import HANDOVER, POINTS
 
@@ -66,9 +66,10 @@
 
 class State(unittest.TestCase):
     how = {"thrift": False, "ajp": True}
+    where = MEMORY
 
     def setUp(self):
-        self.base = Path(tempfile.mkdtemp())
+        self.base = Path(tempfile.mkdtemp(dir=self.where))
         self.addCleanup(shutil.rmtree, self.base)
         self.folder = self.base / "state"
 
@@ -101,6 +102,8 @@
 
 
 class Restart(State):
+    where = None  # on a real disk, with all its syncs
+
     def test_ends_are_given_again_what_began_is_not_run_and_what_did_not_is(self):
         first = self.start()
         client, other = first.ajp(), first.ajp()
--- a/tests/test_store_disk.py
+++ b/tests/test_store_disk.py
@@ -10,6 +10,7 @@
 
 import apsw
 from fault_disk import Disk
+from stand_ins import MEMORY
 
 from ochrehoist.store import disk
 from ochrehoist.store.ageing import SECOND, Stamp
@@ -60,7 +61,7 @@
 
 class Folder(unittest.TestCase):
     def setUp(self):
-        self.folder = Path(tempfile.mkdtemp())
+        self.folder = Path(tempfile.mkdtemp(dir=MEMORY))
         self.addCleanup(shutil.rmtree, self.folder)
         self.path = self.folder / disk.db_name()
 
@@ -80,7 +81,7 @@
         if close:
             opened.db.close()
         else:  # as a process that is killed leaves it: the log has not been moved into the database
-            other = Path(tempfile.mkdtemp())
+            other = Path(tempfile.mkdtemp(dir=MEMORY))
             self.addCleanup(shutil.rmtree, other)
             shutil.copytree(self.folder, other, dirs_exist_ok=True)
             opened.db.close()
