--- /dev/null
+++ b/benchmarks/read_cost.py
@@ -0,0 +1,101 @@
+"""What one small read costs in processor time, on each front, beside an earlier revision, by turns in one
+run.
+
+`python -m benchmarks.read_cost REVISION [--reads N] [--rounds N]`; the revision comes from git, into a folder
+of its own that is removed again.
+"""
+
+import argparse
+import os
+import statistics
+import subprocess
+import sys
+import tempfile
+import threading
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / "tests"))
+
+from stand_ins import AjpServer, Kernel, Program, settings  # noqa: E402
+
+WARM = 300  # reads before the ones that count
+TICK = 1 / os.sysconf("SC_CLK_TCK")
+
+
+class Instant(AjpServer):
+    """Answers each request at once."""
+
+    def __init__(self):
+        super().__init__()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            self.got.get()[2](data=b"a small page")
+
+
+class InstantKernel(Kernel):
+    """Ends each run at once."""
+
+    def __init__(self):
+        super().__init__()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            self.reap(self.scheduled.get()[0], body=b"a small page")
+
+
+def used(pid: int) -> float:
+    """Seconds of processor time of a process so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) * TICK
+
+
+def cost(root: Path, front: str, reads: int) -> float:
+    """Microseconds of processor time for one read."""
+    site = settings()
+    site["FamilyInfo"] |= {"Cores": 16, "HeapKb": 90e6}
+    how = {"thrift": front == "thrift", "ajp": front == "ajp"}
+    program = Program(**how, site=site, server=Instant(), kernel=InstantKernel(), root=root)
+    try:
+        client = program.thrift() if front == "thrift" else program.ajp()
+        began = 0.0
+        for n in range(WARM + reads):
+            if n == WARM:
+                began = used(program.process.pid)
+            answer = client.call(obj=f"{n % 50}") if front == "thrift" else client.call("GET", f"/reads/{n}")
+            if answer[0] not in ("Answer", 200):
+                raise SystemExit(f"a read was answered {answer[0]}")
+        return (used(program.process.pid) - began) / reads * 1e6
+    finally:
+        program.close()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("revision")
+    parser.add_argument("--reads", type=int, default=4000)
+    parser.add_argument("--rounds", type=int, default=5)
+    args = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        before = Path(folder, "before")
+        subprocess.run(["git", "worktree", "add", "-q", "--detach", str(before), args.revision], cwd=ROOT,
+                       check=True)
+        try:
+            for front in ("ajp", "thrift"):
+                pairs = []
+                for n in range(args.rounds):
+                    pair = [cost(root, front, args.reads) for root in ((before, ROOT), (ROOT, before))[n % 2]]
+                    pairs.append(pair if n % 2 == 0 else pair[::-1])
+                    print(f"{front}: {pairs[-1][0]:.0f} us before, {pairs[-1][1]:.0f} us now", flush=True)
+                ratios = sorted(now / then for then, now in pairs)
+                print(f"{front}: now/before {statistics.median(ratios):.3f} "
+                      f"({ratios[0]:.3f} to {ratios[-1]:.3f}), {args.reads} reads a round")
+        finally:
+            subprocess.run(["git", "worktree", "remove", "--force", str(before)], cwd=ROOT, check=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -94,7 +94,7 @@
             make_folder(self.folder)
             self.lock = Lock(self.folder, self.name)
         reached("opened")
-        # Both clocks are read at one moment: windows run on while the folder is opened, however long it takes.
+        # Both clocks are read at one moment: windows run on while the folder is opened.
         stamp, now = stamp_now(), self.owner.clock()
         opened = open_folder(self.folder, self.config.max_mb, longest, stamp)
         self.witness = Witness(self.folder)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -17,7 +17,7 @@
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 10  # s after which a wait has failed
-# Where a sync takes no time, if there is such a place: most proofs of the store are of order, not of the disk.
+# Where a sync takes no time, if there is such a place: most proofs of the store are of order only.
 MEMORY = "/dev/shm" if os.access("/dev/shm", os.W_OK) else None
 MS = 1_000_000
 
@@ -475,10 +475,11 @@
 
     def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, fault=None,
                  stall_log=False, boot=True, passed=False, before=None, appliance=None, inherits=None,
-                 kernel=None, state=None, server=None, **more):
+                 kernel=None, state=None, server=None, root=ROOT, **more):
         """With `before`, it is started beside that program to replace it. `passed`: its socket stays here.
 
         `inherits` is called in the new process before the program, as a parent that leaves signals changed.
+        `root`: the tree that the program is run from, for comparisons.
         """
         self.folder = before.folder if before else tempfile.TemporaryDirectory()
         self.passed = before.passed if before else socket.create_server(("127.0.0.1", 0)) if passed else None
@@ -508,9 +509,9 @@
             env["EDGE_CONFIG"] = self.file("config.json", json.dumps(self.config))
         if fault:  # run at the start of the interpreter, before the program itself
             self.file("sitecustomize.py", fault)
-            env["PYTHONPATH"] = f"{self.folder.name}:{ROOT}"
+            env["PYTHONPATH"] = f"{self.folder.name}:{root}"
         self.env, self.lines, self.at = env, [], {}
-        self.process = subprocess.Popen([sys.executable, "-m", "ochrehoist"], cwd=ROOT, env=env,
+        self.process = subprocess.Popen([sys.executable, "-m", "ochrehoist"], cwd=root, env=env,
                                         stderr=subprocess.PIPE, text=True, preexec_fn=inherits,
                                         pass_fds=[self.passed.fileno()] if self.passed else [])
         self.started = threading.Event()
