--- /dev/null
+++ b/ochrehoist/core/answers.py
@@ -0,0 +1,85 @@
+"""The one final answer of each request: sent once, counted as what its caller was told."""
+
+from collections.abc import Callable
+from typing import Any
+
+from ochrehoist.core.figures import Figures
+from ochrehoist.core.requests import Inbound, Reason, Result
+from ochrehoist.interface import Outcome
+
+ANSWERED, REFUSED, FAILED = "answered_total", "deferred_total", "errored_total"
+
+
+class Answers:
+    """Marks requests as answered and tells their callers. `live`: those owed an answer, or still running."""
+
+    def __init__(self, figures: Figures, log: Any) -> None:
+        self.figures, self.log = figures, log
+        self.live: dict[str, Inbound] = {}
+        self.owed = 0
+
+    def clear(self) -> None:
+        """Another core answers what is open here, or this one takes it up anew."""
+        self.live.clear()
+        self.owed = 0
+
+    def take(self, r: Inbound) -> None:
+        self.live[r.id] = r
+        self.owed += not r.answered
+
+    def settle(self, r: Inbound) -> bool:
+        """Marks that nothing is owed for it any more; whether something was."""
+        if r.answered:
+            return False
+        r.answered = True
+        self.owed -= 1
+        if not r.started:
+            self.live.pop(r.id, None)
+        return True
+
+    def finish(self, r: Inbound, result: Result) -> None:
+        """The answer that its run, or the one it repeats, has made."""
+        if self.settle(r):
+            self.tell_result(r, result)
+
+    def fail(self, r: Inbound, reason: Reason) -> None:
+        if self.settle(r):
+            self.send(r, FAILED, lambda: r.responder.failed(reason))
+
+    def refuse(self, r: Inbound, backoff: int, no_retry: bool = False) -> None:
+        if self.settle(r):
+            self.send(r, REFUSED, lambda: r.responder.refused(backoff, no_retry))
+
+    def turn_away(self, r: Inbound, reason: Reason | None, backoff: int) -> None:
+        """One that never became live: refused, or failed for a reason."""
+        r.answered = True
+        if reason is None:
+            self.send(r, REFUSED, lambda: r.responder.refused(backoff, False))
+        else:
+            self.send(r, FAILED, lambda: r.responder.failed(reason))
+
+    def tell_result(self, r: Inbound, result: Result) -> None:
+        if result.outcome is Outcome.OK:
+            self.send(r, ANSWERED, lambda: r.responder.served(result))
+        else:
+            self.send(r, FAILED, lambda: r.responder.failed(Reason.EXECUTOR, result))
+
+    def send(self, r: Inbound, figure: str, tell: Callable[[], bool | None]) -> None:
+        try:
+            if tell() is False:
+                figure = FAILED
+            if not r.remote:
+                self.figures.count(figure, r.cls.name)
+        except Exception:
+            self.log.exception("an answer could not be sent", id=r.id)
+
+    def execute(self, r: Inbound) -> bool:
+        """Hands it to what runs it; whether that went well."""
+        if not r.remote:
+            self.figures.count("sends_total", r.cls.name)
+        try:
+            r.executor.start(r)
+        except Exception:
+            self.log.exception("a run could not be started", id=r.id)
+            return False
+        return True
--- a/ochrehoist/core/filings.py
+++ b/ochrehoist/core/filings.py
@@ -1,11 +1,13 @@
 """Filings on their way through the journal: none begins before it is on record, and what was is known
 again."""
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Any, Protocol
 
 from ochrehoist import interface as i
 from ochrehoist.core import handover
-from ochrehoist.core.keys import Run
+from ochrehoist.core.answers import Answers
+from ochrehoist.core.keys import KeyTable, Run
 from ochrehoist.core.requests import (
     Inbound,
     Joined,
@@ -17,16 +19,29 @@
     Result,
 )
 
-if TYPE_CHECKING:
-    from ochrehoist.core.owner import Owner
-
 RESULT_OVERHEAD = 600  # bytes that one remembered run takes beyond its result
 
 
+class Core(Protocol):
+    """What filings need of the core that they belong to."""
+
+    keys: KeyTable
+    live: dict[str, Inbound]
+    answers: Answers
+    controller: Any  # None until the module is up
+    kinds: dict[str, int]
+    now: int
+    log: Any
+    tell: Callable[[i.Event], Any]
+    post: Callable[[Any], None]
+    execute: Callable[[Inbound], None]
+    turn_away: Callable[..., None]
+
+
 class Filings:
     """The core's dealings with its journal; without one, filings are as safe as the process."""
 
-    def __init__(self, owner: "Owner") -> None:
+    def __init__(self, owner: Core) -> None:
         self.owner = owner
         self.journal: Journal | None = None
         self.lesson: dict | None = None  # what was learned before, for a module that is not up yet
@@ -66,7 +81,7 @@
         for request_id in (r.id, *waiters):
             waiting = owner.live.get(request_id)
             if waiting is not None:
-                owner.refuse(waiting, m.backoff)
+                owner.answers.refuse(waiting, m.backoff)
                 owner.live.pop(request_id, None)
                 owner.tell(i.Completed(request_id, i.Outcome.MOOT, 0))
 
--- a/ochrehoist/core/forwarder.py
+++ b/ochrehoist/core/forwarder.py
@@ -5,10 +5,9 @@
 """
 
 from collections.abc import Callable
-from typing import Any
 
 from ochrehoist import interface as i
-from ochrehoist.core.figures import Figures
+from ochrehoist.core.answers import FAILED, REFUSED, Answers
 from ochrehoist.core.handover import DetailCodec, Line, Send, request_line, result_from, result_line
 from ochrehoist.core.requests import Arrived, Ended, Gone, Inbound, Message, Reason, Recorded, Result, Standby
 
@@ -16,9 +15,9 @@
 
 
 class Forwarder:
-    def __init__(self, pending: dict[str, Inbound], send: Send, codec: DetailCodec, figures: Figures,
-                 clock: Callable[[], int], wall: Callable[[], int], log: Any) -> None:
-        self.pending, self.codec, self.figures, self.log = pending, codec, figures, log
+    def __init__(self, pending: dict[str, Inbound], send: Send, codec: DetailCodec, answers: Answers,
+                 clock: Callable[[], int], wall: Callable[[], int]) -> None:
+        self.pending, self.codec, self.answers, self.log = pending, codec, answers, answers.log
         self.clock, self.wall = clock, wall
         self.send: Send | None = send  # None: the other process is gone
         self.over: dict[str, Ended] = {}  # runs that have ended, whose answer is still to be told
@@ -55,7 +54,7 @@
         if r.id in self.pending or self.send is None:
             # Whether a filing has run is known only to the other process: no refusal can be given.
             r.answered = True
-            return self._answer(r, "errored_total", lambda: r.responder.failed(Reason.INTERNAL))
+            return self.answers.send(r, FAILED, lambda: r.responder.failed(Reason.INTERNAL))
         self.pending[r.id] = r
         self._tell({"m": "arrived"} | request_line(r, r.arrived))
 
@@ -88,11 +87,11 @@
             self._finish(r, result_from(line["result"], self.codec))
         elif kind == "refused":
             r.answered = True
-            self._answer(r, "deferred_total", lambda: r.responder.refused(line["backoff"], line["no_retry"]))
+            self.answers.send(r, REFUSED, lambda: r.responder.refused(line["backoff"], line["no_retry"]))
         elif kind == "failed":
             result = None if line["result"] is None else result_from(line["result"], self.codec)
             r.answered = True
-            self._answer(r, "errored_total", lambda: r.responder.failed(Reason[line["reason"]], result))
+            self.answers.send(r, FAILED, lambda: r.responder.failed(Reason[line["reason"]], result))
         self._let_go(r)
 
     def _start(self, request_id: str, r: Inbound | None) -> None:
@@ -105,12 +104,7 @@
         self._execute(r)
 
     def _execute(self, r: Inbound) -> None:
-        if not r.remote:
-            self.figures.count("sends_total", r.cls.name)
-        try:
-            r.executor.start(r)
-        except Exception:
-            self.log.exception("a run could not be started", id=r.id)
+        if not self.answers.execute(r):
             self.take(Ended(r.id, Result(i.Outcome.FAILED), 0))
 
     def lost(self) -> None:
@@ -138,23 +132,11 @@
     # ---- answers
     def _finish(self, r: Inbound, result: Result) -> None:
         r.answered = True
-        if result.outcome is i.Outcome.OK:
-            self._answer(r, "answered_total", lambda: r.responder.served(result))
-        else:
-            self._answer(r, "errored_total", lambda: r.responder.failed(Reason.EXECUTOR, result))
+        self.answers.tell_result(r, result)
 
     def _fail(self, r: Inbound, reason: Reason) -> None:
         r.answered = True
-        self._answer(r, "errored_total", lambda: r.responder.failed(reason))
-
-    def _answer(self, r: Inbound, figure: str, send: Callable[[], bool | None]) -> None:
-        try:
-            if send() is False:
-                figure = "errored_total"
-            if not r.remote:
-                self.figures.count(figure, r.cls.name)
-        except Exception:
-            self.log.exception("an answer could not be sent", id=r.id)
+        self.answers.send(r, FAILED, lambda: r.responder.failed(reason))
 
     def _let_go(self, r: Inbound) -> None:
         """What is answered and does not run is of no more concern here."""
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -6,11 +6,12 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
-from heapq import heappop, heappush
 from typing import Any
 
 from ochrehoist import interface as i
 from ochrehoist.core import handover
+from ochrehoist.core.answers import Answers
+from ochrehoist.core.deadlines import REARM, Deadlines
 from ochrehoist.core.figures import Figures
 from ochrehoist.core.filings import Filings
 from ochrehoist.core.forwarder import Forwarder
@@ -40,8 +41,6 @@
 
 MS = 1_000_000
 SECOND = 1000 * MS
-RING_WAIT = 25 * MS  # an alarm rings so long after it fell due at the latest, with or without fresh gauges
-REARM = 100 * MS  # alarms go on after a fault in the module
 LAST_CALL = 150 * MS  # before the process is stopped, whatever is still open is failed
 STAND = 0.01  # s between looks at what falls due while another process decides
 
@@ -60,14 +59,13 @@
         self.inbox: deque[Message] = deque()
         self.controller: AdmissionController | None = None
         self.listeners: list[Listener] = []
-        self.live: dict[str, Inbound] = {}  # owed an answer, or still running
-        self.owed = 0
+        self.figures = Figures(c.name for c in settings.classes)
+        self.answers = Answers(self.figures, log)
+        self.live = self.answers.live  # owed an answer, or still running
+        self.deadlines = Deadlines()
         self.result_bytes = result_bytes
         self.keys = KeyTable(slack=max(c.deadline for c in settings.classes) + SECOND, max_bytes=result_bytes)
         self.filings = Filings(self)
-        self.alarms: list[tuple[int, int]] = []
-        self.backstops: list[tuple[int, str]] = []  # when each request must have been answered
-        self.ringing: tuple[int, list[int]] | None = None  # alarms that wait for gauges, and until when
         self.gauges: dict[str, float] = {}
         self.now = 0
         self.module_good = True  # the module's own verdict
@@ -77,7 +75,6 @@
         self.weight = 100  # per cent of its usual share that this worker asks for
         self.leave_at: int | None = None
         self.stop_at: int | None = None
-        self.figures = Figures(c.name for c in settings.classes)
         self._index(settings)
         self.swept = 0
         # Replacing the process: what asks the one before this for its state, once this one is up; whether
@@ -108,6 +105,11 @@
             return False
         return self.module_good and self.linked and (not self.standby or self.inherited_standby)
 
+    @property
+    def owed(self) -> int:
+        """Requests that are open here or at a process that this one decides for."""
+        return self.answers.owed
+
     @property
     def started_cold(self) -> bool:
         return self.booted is not None and bool(self.booted.cold)
@@ -167,10 +169,8 @@
             return 0.0 if self.inbox and not self.frozen else STAND
         if self.inbox:
             return 0.0
-        times = [heap[0][0] for heap in (self.alarms, self.backstops) if heap]
-        if self.ringing:
-            times.append(self.ringing[0])
-        return max(0, min(times) - self.clock()) / SECOND if times else None
+        due = self.deadlines.next()
+        return None if due is None else max(0, due - self.clock()) / SECOND
 
     # ---- messages
     def _booted(self, m: Booted) -> None:
@@ -184,14 +184,15 @@
 
     def _boot(self, settings: i.Settings) -> None:
         """A fresh module for these settings."""
-        m, self.alarms, self.ringing = self.booted, [], None
+        m = self.booted
+        self.deadlines.forget_alarms()
         self._index(settings)
         if m.cold is not None:
             settings = replace(settings, just_started=m.cold)
         self.controller = AdmissionController(settings, self.seed)
-        self._handle(i.Started(), at=self.born)
+        self.tell(i.Started(), at=self.born)
         if self.leave_at is not None:
-            self._handle(i.Leave(self.stop_at - self.leave_at), at=self.leave_at)
+            self.tell(i.Leave(self.stop_at - self.leave_at), at=self.leave_at)
         self.filings.teach()
 
     # ---- replacing the process: the old one's side
@@ -216,9 +217,9 @@
 
     def hand_over(self, send: handover.Send, codec: handover.DetailCodec) -> Forwarder:
         """From now on the other process decides."""
-        self.forwarder = Forwarder(dict(self.live), send, codec, self.figures, self.clock, self.wall,
-                                   self.log)
-        self.controller, self.live = None, {}
+        self.forwarder = Forwarder(dict(self.live), send, codec, self.answers, self.clock, self.wall)
+        self.controller = None
+        self.answers.clear()
         self.keys = KeyTable(0, 0)  # its memory is the other's to use
         self.thaw()
         return self.forwarder
@@ -249,7 +250,8 @@
     def _take_up(self, state: handover.State) -> None:
         """A fresh module that knows what was begun, what is held, and what was learned."""
         state.keys.slack = max(c.deadline for c in (*self.settings.classes, *state.classes.values())) + SECOND
-        self.keys, self.live, self.owed = state.keys, {}, 0
+        self.keys = state.keys
+        self.answers.clear()
         self._boot(handover.settings_with(self.settings, state))
         begun = {r.id: r for r in state.requests if r.started}
         for token, run in self.keys.runs.items():
@@ -257,17 +259,15 @@
             if run.id not in begun and not run.asleep and token[1] in self.kinds:
                 self.filings.adopt(token, run)
         for r in begun.values():
-            self.live[r.id] = r
             self._owe(r)
-            self._handle(i.Adopted(self._event(r), r.answered, False))
+            self.tell(i.Adopted(self._event(r), r.answered, False))
         self._teach(state.learned)
         held = [r for r in state.requests if not r.started and not r.answered]
         for r in sorted(held, key=lambda r: r.arrived):
-            self.live[r.id] = r
             self._owe(r)
             event = self._event(r)
             event.remaining = max(1, r.due - self.now)  # by its own class, whatever has become of that
-            self._handle(event)
+            self.tell(event)
         self._teach(state.learned)  # what was held is no news of how long requests wait to be read
 
     def _teach(self, learned: dict | None) -> None:
@@ -278,12 +278,12 @@
             self.log.exception("what was learned can't be taken up")
 
     def _owe(self, r: Inbound) -> None:
+        self.answers.take(r)
         if not r.answered:
-            self.owed += 1
             r.due = max(self.now, r.arrived + r.cls.deadline)
             if self.stop_at is not None:
                 r.due = min(r.due, self.stop_at - LAST_CALL)
-            heappush(self.backstops, (r.due, r.id))
+            self.deadlines.answer_by(r.due, r.id)
 
     def _event(self, r: Inbound) -> i.Request:
         original = self.keys.original(r.token, r.arrived) if r.token else None
@@ -315,21 +315,20 @@
             return self.turn_away(r)  # its class is gone, and no other try of it can have run
         if r.token is not None and self.filings.turned_away(r):
             return
-        self.live[r.id] = r
         self._owe(r)
-        self._handle(self._event(r))
+        self.tell(self._event(r))
 
     def _gone(self, m: Gone) -> None:
         r = self.live.get(m.id)
         if r is None:
             return
-        self._settle(r)
-        self._handle(i.CallerGone(r.id, m.gave_up))
+        self.answers.settle(r)
+        self.tell(i.CallerGone(r.id, m.gave_up))
 
     def _ended(self, m: Ended) -> None:
         r = self.live.pop(m.id, None)
         if r is None:  # the module let it go before, or never knew that it was over
-            self._handle(i.Completed(m.id, m.result.outcome, m.took))
+            self.tell(i.Completed(m.id, m.result.outcome, m.took))
             return
         if r.token is not None:
             self.filings.ended(r, m.result)
@@ -342,19 +341,11 @@
 
     def turn_away(self, r: Inbound, reason: Reason | None = None, backoff: int = SECOND) -> None:
         """Answers what the module never hears of: refused, or failed for a reason."""
-        r.answered = True
-        if reason is None:
-            self._answer(r, "deferred_total", lambda: r.responder.refused(backoff, False))
-        else:
-            self._answer(r, "errored_total", lambda: r.responder.failed(reason))
+        self.answers.turn_away(r, reason, backoff)
 
     def _finish(self, r: Inbound, result: Result, took: int) -> None:
-        if self._settle(r):
-            if result.outcome is i.Outcome.OK:
-                self._answer(r, "answered_total", lambda: r.responder.served(result))
-            else:
-                self._answer(r, "errored_total", lambda: r.responder.failed(Reason.EXECUTOR, result))
-        self._handle(i.Completed(r.id, result.outcome, took))
+        self.answers.finish(r, result)
+        self.tell(i.Completed(r.id, result.outcome, took))
 
     def _measured(self, m: Gauges) -> None:
         self.gauges = m.values
@@ -366,9 +357,9 @@
         self.leave_at, self.stop_at = self.now, self.now + m.remaining
         for r in self.live.values():
             if not r.answered:
-                heappush(self.backstops, (self.stop_at - LAST_CALL, r.id))
+                self.deadlines.answer_by(self.stop_at - LAST_CALL, r.id)
         if self.controller is not None:
-            self._handle(i.Leave(m.remaining))
+            self.tell(i.Leave(m.remaining))
         for listener in self.listeners:
             listener.leaving(m.remaining)
         self._judge()
@@ -396,42 +387,36 @@
 
     # ---- time
     def _fall_due(self) -> None:
-        while self.backstops and self.backstops[0][0] <= self.now:
-            r = self.live.get(heappop(self.backstops)[1])
+        for request_id in self.deadlines.past_due(self.now):
+            r = self.live.get(request_id)
             if r is not None and not r.answered:  # the module should have: a fault, or a beat that came late
                 self.log.warning("answered by the backstop", id=r.id, started=r.started)
-                self._fail(r, Reason.GIVEN_UP)
-                self._handle(i.CallerGone(r.id, False))
+                self.answers.fail(r, Reason.GIVEN_UP)
+                self.tell(i.CallerGone(r.id, False))
                 self._not_running(r)
-        due = []
-        while self.alarms and self.alarms[0][0] <= self.now:
-            due.append(heappop(self.alarms)[1])
-        if due and self.ringing is None:
-            self.ringing = (self.now + RING_WAIT, due)
+        if self.deadlines.collect(self.now):
             self.measure()
-        elif due:
-            self.ringing[1].extend(due)
-        if self.ringing and self.ringing[0] <= self.now:
+        if self.deadlines.waited(self.now):
             self._ring()
         if self.now - self.swept >= SECOND:
             self.swept = self.now
             self.filings.sweep()
 
     def _ring(self) -> None:
-        tokens, self.ringing = self.ringing[1] if self.ringing else [], None
-        for token in tokens:
-            if not self._handle(i.Alarm(token, dict(self.gauges))):
-                heappush(self.alarms, (self.now + REARM, token))
+        for token in self.deadlines.rung():
+            if not self.tell(i.Alarm(token, dict(self.gauges))):
+                self.deadlines.set_alarm(self.now + REARM, token)
 
     # ---- the module
-    def _handle(self, event: i.Event, at: int | None = None) -> bool:
+    def tell(self, event: i.Event, at: int | None = None) -> bool:
+        """Hands the module an event, and carries out what it says; False after a fault of its own."""
         try:
             actions = self.controller.handle(self.now if at is None else at, event)
         except Exception:
             self.log.exception("fault in the decision module", event_type=type(event).__name__)
             r = self.live.get(getattr(event, "id", None))
             if r is not None and not r.answered and not r.started:
-                self._fail(r, Reason.INTERNAL)
+                self.answers.fail(r, Reason.INTERNAL)
                 self._not_running(r)
             return False
         for action in actions:
@@ -441,39 +426,11 @@
                 self.log.exception("fault in an action", action=type(action).__name__)
         return True
 
-    def tell(self, event: i.Event) -> None:
-        """An event for the module."""
-        self._handle(event)
-
     def _not_running(self, r: Inbound) -> None:
         """After a fault the module may count as running what was never started: its slot is given back."""
         if not r.started:
             self.post(Ended(r.id, Result(i.Outcome.MOOT), 0))
 
-    def _settle(self, r: Inbound) -> bool:
-        """Marks that nothing is owed for it any more; whether something was."""
-        if r.answered:
-            return False
-        r.answered = True
-        self.owed -= 1
-        if not r.started:
-            self.live.pop(r.id, None)
-        return True
-
-    def _answer(self, r: Inbound, figure: str, send: Callable[[], bool | None]) -> None:
-        """Sends the one final answer, and counts it as what the caller was told."""
-        try:
-            if send() is False:
-                figure = "errored_total"
-            if not r.remote:
-                self.figures.count(figure, r.cls.name)
-        except Exception:
-            self.log.exception("an answer could not be sent", id=r.id)
-
-    def _fail(self, r: Inbound, reason: Reason) -> None:
-        if self._settle(r):
-            self._answer(r, "errored_total", lambda: r.responder.failed(reason))
-
     def _start(self, a: i.Start) -> None:
         r = self.live.get(a.id)
         if r is None:  # over already, as after a fault: the module must not count it as running for ever
@@ -493,27 +450,18 @@
 
     def execute(self, r: Inbound) -> None:
         """Hands it to what runs it."""
-        if not r.remote:
-            self.figures.count("sends_total", r.cls.name)
-        try:
-            r.executor.start(r)
-        except Exception:
-            self.log.exception("a run could not be started", id=r.id)
+        if not self.answers.execute(r):
             self.post(Ended(r.id, Result(i.Outcome.FAILED), 0))
 
     def _refuse(self, a: i.Refuse) -> None:
         r = self.live.get(a.id)
         if r is not None:
-            self.refuse(r, a.backoff, a.no_retry)
-
-    def refuse(self, r: Inbound, backoff: int, no_retry: bool = False) -> None:
-        if self._settle(r):
-            self._answer(r, "deferred_total", lambda: r.responder.refused(backoff, no_retry))
+            self.answers.refuse(r, a.backoff, a.no_retry)
 
     def _give_up(self, a: i.Fail) -> None:
         r = self.live.get(a.id)
         if r is not None:
-            self._fail(r, Reason.GIVEN_UP)
+            self.answers.fail(r, Reason.GIVEN_UP)
 
     def _keep(self, a: i.Keep) -> None:
         r = self.live.get(a.id)
@@ -544,7 +492,7 @@
             listener.keep_alive_changed(a.hold_for or self.settings.idle)
 
     def _set_alarm(self, a: i.SetAlarm) -> None:
-        heappush(self.alarms, (self.now + a.delay, a.token))
+        self.deadlines.set_alarm(self.now + a.delay, a.token)
 
     def _advise(self, a: i.Advise) -> None:
         if self.settings.advice is i.Advice.WEIGHT:
