--- a/tests/test_ajp_front.py
+++ b/tests/test_ajp_front.py
@@ -8,7 +8,7 @@
 import time
 import unittest
 
-from stand_ins import AjpServer, Dribble, ajp_packet
+from stand_ins import AjpServer, Dribble, ajp_packet, hasty
 from test_thrift_front import DUE, Case
 
 
@@ -75,6 +75,8 @@
 
 
 class Overload(AjpCase):
+    how = AjpCase.how | {"site": hasty()}
+
     def test_refusals_are_503_with_retry_after_and_what_is_given_up_is_504(self):
         crowd = [self.program.ajp() for _ in range(20)]
         began = time.monotonic()
