Let operators say that the store must be there, and list a rewrite's filings off the loop

A volume that was not mounted looked like a first start: an empty store was made in its place, and filings of before could run twice. With [state] must_exist = true a folder that never held a store is waited for: nothing is written there, filings that are not known get 502 (one may have run, so it is neither run nor refused), reads go on, and the store opens by itself once it appears. 'ochrehoist state init' makes the first one. Tested with a mount point that is gone, one that is empty, and the volume's return. Rejected: holding as after a loss, for it would write a second store that the mounted volume hides later. The list of filings for the rewrite after a failed sync was made on the loop; it is copied there and made in the store's thread.

--- a/ochrehoist/cli/state.py
+++ b/ochrehoist/cli/state.py
@@ -89,6 +89,20 @@
     ctx.exit(DAMAGED if found else 0)
 
 
+@state.command(epilog="Example: ochrehoist --config site.toml state init")
+@FOLDER
+@click.pass_context
+@_stops
+def init(ctx: click.Context, folder: Path | None) -> None:
+    """Make an empty store, for a worker whose configuration says that one must exist."""
+    from ochrehoist.store.clock import stamp_now
+    from ochrehoist.store.tool import begin
+
+    where, longest = _folder(ctx, folder)
+    begin(where, longest, stamp_now())
+    click.echo(f"{where}: an empty store")
+
+
 @state.command("export", epilog="Example: ochrehoist state export /media/stick/filings.jsonl")
 @FOLDER
 @click.argument("file")
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -65,6 +65,7 @@
     """What survives the process, and where."""
 
     folder: str
+    must_exist: bool  # a folder without a store is one that is not mounted, not a first start
     max_mb: float
     commit_ms: float  # that the first filing of a group waits for more
     stall_ms: float  # that a filing waits for the disk
@@ -216,11 +217,12 @@
 def _state(top: Reader) -> StateConfig | None:
     if "state" not in top.data:
         return None
-    r = _only(top.part("state"), "folder", "max_mb", "commit_ms", "stall_ms", "on_loss", "max_result_kb",
-              "learned_every_s", "learned_half_life_s")
+    r = _only(top.part("state"), "folder", "must_exist", "max_mb", "commit_ms", "stall_ms", "on_loss",
+              "max_result_kb", "learned_every_s", "learned_half_life_s")
     return StateConfig(
-        folder=r.text("folder"), max_mb=r.number("max_mb", 256, least=1),
-        commit_ms=r.number("commit_ms", 0), stall_ms=r.number("stall_ms", 250, least=1),
+        folder=r.text("folder"), must_exist=r.flag("must_exist", False),
+        max_mb=r.number("max_mb", 256, least=1), commit_ms=r.number("commit_ms", 0),
+        stall_ms=r.number("stall_ms", 250, least=1),
         on_loss=r.choice("on_loss", {word: word for word in ON_LOSS}, "hold"),
         max_result_kb=r.number("max_result_kb", 1024),
         learned_every_s=r.number("learned_every_s", 5, least=0.1),
--- a/ochrehoist/store/backlog.py
+++ b/ochrehoist/store/backlog.py
@@ -55,6 +55,7 @@
     IO = "the disk failed"
     SYNC = "the disk failed to keep what was written: nothing written before it can be trusted"
     DAMAGED = "the store is damaged"
+    MISSING = "no store is there, and must_exist says that there is one: is its volume mounted?"
 
 
 UNTRUSTED = frozenset({Error.IO, Error.SYNC, Error.DAMAGED})  # after these the store is written anew
--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -23,13 +23,13 @@
 from ochrehoist.net.loop import Loop
 from ochrehoist.settings import BadInput
 from ochrehoist.store import disk
-from ochrehoist.store.ageing import aged
+from ochrehoist.store.ageing import Stamp, aged
 from ochrehoist.store.backlog import Backlog, Begin, Drop, End, Error, Op, Save
 from ochrehoist.store.clock import stamp_now
 from ochrehoist.store.disk import Failed, Held, Lock
 from ochrehoist.store.loss import held_for
 from ochrehoist.store.offloop import OffLoop
-from ochrehoist.store.opening import Opened, Witness, make_folder, open_folder, rewrite
+from ochrehoist.store.opening import Opened, Witness, make_folder, must_hold_a_store, open_folder, rewrite
 from ochrehoist.store.points import reached
 from ochrehoist.store.records import Begun, Finished, Learned, key_of
 
@@ -65,7 +65,7 @@
         self.asked_at = time.monotonic()  # for the folder
         self.when_restored: list[Callable[[], None]] = []
         try:
-            make_folder(self.folder)
+            self._folder_there()
             if not replacing:
                 self.lock = Lock(self.folder, name)
         except Held as held:
@@ -73,10 +73,18 @@
                            "replace it: the same name and TMPDIR") from None
         except FileNotFoundError as error:
             raise BadInput(f"setting state.folder: {self.folder}: {error.strerror}") from None
+        except Failed as missing:
+            self._in_trouble(missing)
         except OSError as error:
             self._in_trouble(disk.failure(error))
         self.thread = OffLoop(loop, "journal")
 
+    def _folder_there(self) -> None:
+        if self.config.must_exist:
+            must_hold_a_store(self.folder)
+        else:
+            make_folder(self.folder)
+
     # ---- taking the folder into use
     def open(self) -> None:
         """Told to the core by a Restored, sooner or later."""
@@ -91,7 +99,7 @@
     def _open(self, longest: int) -> tuple[Opened, dict[KeyId, Run]]:
         reached("open")
         if self.lock is None:
-            make_folder(self.folder)
+            self._folder_there()
             self.lock = Lock(self.folder, self.name)
         reached("opened")
         # Both clocks are read at one moment: windows run on while the folder is opened.
@@ -184,10 +192,13 @@
         self._add(Begin(r.id, key_of(r.token), self._begun(r.token, run)))
 
     def _begun(self, token: KeyId, run: Run) -> Begun:
-        left = max(0, run.window_end - self.owner.clock())
-        window = max(left, next((c.window for c in self.owner.settings.classes if c.name == token[1]), 0))
+        windows = {c.name: c.window for c in self.owner.settings.classes}
+        return self._record(token, run, windows, self.owner.clock(), stamp_now())
+
+    def _record(self, token: KeyId, run: Run, windows: dict[str, int], now: int, stamp: Stamp) -> Begun:
+        left = max(0, run.window_end - now)
         target, body = run.fingerprint or (None, None)
-        return Begun(token, run.id, window, left, stamp_now(), target, body, self.name)
+        return Begun(token, run.id, max(left, windows.get(token[1], 0)), left, stamp, target, body, self.name)
 
     def end(self, token: KeyId, run: Run, result: Result) -> None:
         reached("end")
@@ -281,12 +292,19 @@
 
     def _rebuild(self, now: float) -> None:
         """From what the core knows: what the disk still shows may not be there after the next power cut."""
-        begun = [self._begun(token, run) for token, run in self.owner.keys.runs.items()
-                 if run.result is not None or run.dropped or run.id in self.owner.live]
+        runs, live = list(self.owner.keys.runs.items()), frozenset(self.owner.live)
+        windows = {c.name: c.window for c in self.owner.settings.classes}
         loss, learned = self.opened.loss, self.learned
+        clock, stamp = self.owner.clock(), stamp_now()
+
+        def write() -> Any:
+            # Off the loop, as there may be very many. What ends meanwhile is among what waits.
+            begun = [self._record(token, run, windows, clock, stamp) for token, run in runs
+                     if run.result is not None or run.dropped or run.id in live]
+            return rewrite(self.opened, self.config.max_mb, begun, loss, learned)
+
         self.backlog.rebuilding(now)
-        self.thread.submit(lambda: rewrite(self.opened, self.config.max_mb, begun, loss, learned),
-                           self._was_rebuilt)
+        self.thread.submit(write, self._was_rebuilt)
 
     def _was_rebuilt(self, db: Any, error: Exception | None) -> None:
         if error is not None:
--- a/ochrehoist/store/opening.py
+++ b/ochrehoist/store/opening.py
@@ -56,6 +56,13 @@
         disk.sync_folder(folder.parent)
 
 
+def must_hold_a_store(folder: Path) -> None:
+    """Raises Failed where the folder never held one. What was begun on a volume that is not mounted is not
+    known, and a store made in its place would be hidden by it later."""
+    if not folder.is_dir() or disk.read_marker(folder) is None:
+        raise Failed(disk.Error.MISSING, f"{folder}: {disk.Error.MISSING.value}")
+
+
 def _read(path: Path) -> Contents:
     """What a store holds; one that is damaged says so in `unreadable`. Raises Failed where the disk fails."""
     try:
--- a/ochrehoist/store/tool.py
+++ b/ochrehoist/store/tool.py
@@ -92,6 +92,18 @@
         return found
 
 
+def begin(folder: Path, longest: int, now: Stamp) -> None:
+    """Makes the first store of a folder. Raises NoStore where there is or was one, Held, Failed, OSError."""
+    make_folder(folder)
+    lock = Lock(folder, WHO)
+    try:
+        if disk.read_marker(folder) is not None or disk.stores(folder):
+            raise NoStore(f"{folder}: it holds a store, or held one; nothing was changed")
+        open_folder(folder, 0, longest, now).db.close()
+    finally:
+        lock.release()
+
+
 def _moved(db: Database, contents: Contents, now: Stamp) -> Moved:
     filings = [(r, db.fetch(key_of(r.token)) if ended else None)
                for r, ended in zip(contents.begun, contents.ended, strict=True)]
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -281,6 +281,43 @@
         self.assertEqual(second.said("what ran before is not fully known")[0]["on_loss"], "serve")
 
 
+class Unmounted(State):
+    def test_a_store_that_must_exist_is_waited_for_and_none_is_made_in_its_place(self):
+        volume = self.base / "volume"
+        done = run("state", "init", "--folder", str(volume))
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertEqual(run("state", "init", "--folder", str(volume)).returncode, 1)  # there is one
+        volume.rename(self.folder)
+        first = self.start(state={"must_exist": True})
+        client = first.ajp()
+        self.file(client, "k")
+        first.server.next()[2](data=b"one")
+        self.assertEqual(client.answer()[2], b"one")
+        self.recorded(first, 2)
+        self.kill(first)
+        self.folder.rename(volume)  # as a mount point without its volume, or with an empty folder there
+        for there in (False, True):
+            if there:
+                self.folder.mkdir()
+            second = self.start(state={"must_exist": True})
+            client, reader = second.ajp(), second.ajp()
+            self.file(client, "k")
+            self.assertEqual(client.answer()[0], 502)  # it may have run: neither run nor refused
+            reader.request()
+            second.server.next()[2](data=b"read")
+            self.assertEqual(reader.answer()[2], b"read")
+            self.assertIn("mounted", self.store(second)["trouble"])
+            self.assertEqual(list(self.folder.iterdir()) if there else [], [])
+            if not there:
+                self.kill(second)
+        self.folder.rmdir()
+        volume.rename(self.folder)
+        self.until(lambda: self.store(second)["open"])
+        self.file(client, "k")
+        self.assertEqual(client.answer()[2], b"one")
+        self.assertEqual(second.server.got.qsize(), 0)
+
+
 class BadDisk(State):
     def setUp(self):
         super().setUp()
