Start where sockets within the machine are refused, and test that no refused call is made

The test also refuses fork, exec, spawn, sendfile, splice and more: the platform's run calls none of them over start, service, reload, standby and drain.

--- a/ochrehoist/net/link.py
+++ b/ochrehoist/net/link.py
@@ -66,16 +66,17 @@
 
     def listen(self) -> None:
         """Takes the path over in one step, whoever listened there before."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        new = f"{self.path}.{os.getpid()}"
+        sock, new = None, f"{self.path}.{os.getpid()}"
         try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
             sock.bind(new)
             os.chmod(new, 0o600)
             sock.listen(4)
             sock.setblocking(False)
             os.replace(new, self.path)
         except OSError as error:  # the worker serves all the same
-            sock.close()
+            if sock is not None:
+                sock.close()
             return self.log.error("this process can't be replaced without loss", why=str(error))
         self.sock = sock
         self.loop.on_readable(sock.fileno(), self._accept)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,5 +1,7 @@
 """Faults inside the decision module, put there as the real program starts, and in what the codecs read."""
 
+import json
+import signal
 import time
 import unittest
 
@@ -51,7 +53,46 @@
 """
 
 
+# What the platform refuses: starting programs, splice, sendfile, and here sockets within the machine too.
+NARROW = """
+import errno, os, socket, _socket, _posixsubprocess
+def refused(name):
+    def call(*args, **more):
+        print('{"event": "refused a call", "call": "%s"}' % name, file=__import__("sys").stderr, flush=True)
+        raise OSError(errno.ENOSYS, os.strerror(errno.ENOSYS))
+    return call
+for name in ("fork", "forkpty", "posix_spawn", "posix_spawnp", "execv", "execve", "system", "sendfile",
+             "splice", "memfd_create", "pidfd_open"):
+    if hasattr(os, name):
+        setattr(os, name, refused(name))
+_posixsubprocess.fork_exec = refused("fork_exec")
+plain = _socket.socket.__init__
+class Narrow(socket.socket):
+    def __init__(self, family=-1, *args, **more):
+        if family == socket.AF_UNIX:
+            raise OSError(errno.EAFNOSUPPORT, os.strerror(errno.EAFNOSUPPORT))
+        super().__init__(family, *args, **more)
+socket.socket = Narrow
+"""
+
+
 class Surroundings(unittest.TestCase):
+    def test_no_call_is_made_that_the_platform_refuses_and_a_refused_socket_costs_replacement_only(self):
+        program = Program(fault=NARROW)
+        self.addCleanup(program.close)
+        router = program.thrift()
+        for kind in ("read", "filing"):
+            seqid = router.invoke(kind, b"doc", token=kind)
+            program.kernel.reap(program.kernel.next()[0], body=b"made")
+            self.assertEqual(router.answer(seqid)[2], b"made")
+        program.reload("config.json", json.dumps(program.config | {"stop_ms": 2400}))
+        self.assertEqual(program.operator("POST", "/standby")[0], 200)
+        program.process.send_signal(signal.SIGTERM)
+        router.farewell()
+        self.assertEqual(program.ended(), 0)
+        self.assertEqual(program.said("refused a call"), [])
+        self.assertEqual(len(program.said("this process can't be replaced without loss")), 1)
+
     def test_a_clock_that_is_set_back_puts_off_no_answer(self):
         program = Program(fault=CLOCK, site=hasty())
         self.addCleanup(program.close)
