Let a stand-in server's run outlast the start of a program on a crowded machine

Pinned to one core, ten tests of replacement failed: their runs waited at a stand-in server that was given up on after 1.2 s while another program started. 15 s now; no test waits for that time. The two files concerned pass twice on one core.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -503,7 +503,7 @@
         front = {"listen": "127.0.0.1:0", "rules": [
             {"uri": "/reads/*", "class": "read"},
             {"uri": "/filings*", "methods": ["POST"], "class": "filing"}],
-            "servers": [{"address": self.server.address, "reply_ms": 1200}], "body_s": 3.0} | more
+            "servers": [{"address": self.server.address, "reply_ms": 15_000}], "body_s": 3.0} | more
         if secret:
             front["secret"] = secret
         top = {"name": "n1", "stop_ms": stop_ms, "limits": limits, "admin": "127.0.0.1:0"}
