Record the load that a worker takes, in versioned, compressed, checksummed files

The capacity planner needs what really comes in. [capture] in the operators' file turns it on: one record a request (times, class, tenant, front, hashed subject, stated work, caller, mark, outcome, waiting and running, how crowded it was), written off the loop by an Observer that the core tells and that changes nothing. Sampling is by subject, so popularity stays true, and the same on all workers; hashes are salted anew for each file. Rejected: writing on the loop (a slow disk stops the worker), JSON lines (six times the size before compression), one file for ever. A plain run loads none of it (test).

--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -75,6 +75,17 @@
     learned_half_life_s: float
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class CaptureConfig:
+    """What is recorded of the load, and where."""
+
+    folder: str
+    sample: float  # share of subjects
+    max_mb: float  # of all files; the oldest go
+    file_mb: float  # a new file after so much
+    file_s: float  # or so long
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class Config:
     name: str
@@ -91,6 +102,7 @@
     admin: Address | None = None  # where operators call
     agent: Address | None = None
     state: StateConfig | None = None
+    capture: CaptureConfig | None = None
     passed: int | None = None  # a descriptor that listens at `listen`, kept by the platform
     link: str | None = None  # where the process that replaces this one finds it
     keys: frozenset[str] = frozenset()  # of the platform's file: one that is read again must have them all
@@ -209,7 +221,8 @@
         data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
         raise BadInput(f"setting {key}: {path}: {error}") from None
-    top = _only(Reader(data, ""), "name", "stop_ms", "limits", "admin", "ajp", "console", "state", "settings")
+    top = _only(Reader(data, ""), "name", "stop_ms", "limits", "admin", "ajp", "console", "state",
+                "capture", "settings")
     _only(top.part("limits", {}), "memory_mb", "sockets")
     return top
 
@@ -229,10 +242,22 @@
         learned_half_life_s=r.number("learned_half_life_s", 3600, least=1))
 
 
+def _capture(top: Reader) -> CaptureConfig | None:
+    if "capture" not in top.data:
+        return None
+    r = _only(top.part("capture"), "folder", "sample", "max_mb", "file_mb", "file_s")
+    sample = r.number("sample", 1.0)
+    if not 0 < sample <= 1:
+        raise BadInput(f"setting {r.path}sample: not above 0 and at most 1: {sample!r}")
+    return CaptureConfig(
+        folder=r.text("folder"), sample=sample, max_mb=r.number("max_mb", 256, least=1),
+        file_mb=r.number("file_mb", 16, least=0.01), file_s=r.number("file_s", 3600, least=1))
+
+
 def _second_front(top: Reader, settings: Settings) -> dict[str, Any]:
     console = _only(top.part("console", {}), "agent_check")
     return {"ajp": _ajp(top.part("ajp"), settings), "agent": _address(console, "agent_check", True),
-            "state": _state(top)}
+            "state": _state(top), "capture": _capture(top)}
 
 
 def _common(top: Reader, seed: int) -> dict[str, Any]:
--- a/ochrehoist/core/answers.py
+++ b/ochrehoist/core/answers.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from ochrehoist.core.figures import Figures
-from ochrehoist.core.requests import Inbound, Reason, Result
+from ochrehoist.core.requests import Inbound, Observer, Reason, Result
 from ochrehoist.interface import Outcome
 
 ANSWERED, REFUSED, FAILED = "answered_total", "deferred_total", "errored_total"
@@ -15,6 +15,7 @@
 
     def __init__(self, figures: Figures, log: Any) -> None:
         self.figures, self.log = figures, log
+        self.observer: Observer | None = None
         self.live: dict[str, Inbound] = {}
         self.owed = 0
 
@@ -48,13 +49,13 @@
 
     def refuse(self, r: Inbound, backoff: int, no_retry: bool = False) -> None:
         if self.settle(r):
-            self.send(r, REFUSED, lambda: r.responder.refused(backoff, no_retry))
+            self.send(r, REFUSED, lambda: r.responder.refused(backoff, no_retry), backoff)
 
     def turn_away(self, r: Inbound, reason: Reason | None, backoff: int) -> None:
         """One that never became live: refused, or failed for a reason."""
         r.answered = True
         if reason is None:
-            self.send(r, REFUSED, lambda: r.responder.refused(backoff, False))
+            self.send(r, REFUSED, lambda: r.responder.refused(backoff, False), backoff)
         else:
             self.send(r, FAILED, lambda: r.responder.failed(reason))
 
@@ -64,12 +65,19 @@
         else:
             self.send(r, FAILED, lambda: r.responder.failed(Reason.EXECUTOR, result))
 
-    def send(self, r: Inbound, figure: str, tell: Callable[[], bool | None]) -> None:
+    def gone(self, r: Inbound) -> None:
+        """Its caller has left."""
+        if self.settle(r) and self.observer is not None:
+            self.observer.answered(r, None, 0)
+
+    def send(self, r: Inbound, figure: str, tell: Callable[[], bool | None], backoff: int = 0) -> None:
         try:
             if tell() is False:
                 figure = FAILED
             if not r.remote:
                 self.figures.count(figure, r.cls.name)
+            if self.observer is not None:
+                self.observer.answered(r, figure, backoff)
         except Exception:
             self.log.exception("an answer could not be sent", id=r.id)
 
--- a/ochrehoist/core/forwarder.py
+++ b/ochrehoist/core/forwarder.py
@@ -104,6 +104,7 @@
         self._execute(r)
 
     def _execute(self, r: Inbound) -> None:
+        r.begun_at = self.clock()
         if not self.answers.execute(r):
             self.take(Ended(r.id, Result(i.Outcome.FAILED), 0))
 
--- a/ochrehoist/core/handover.py
+++ b/ochrehoist/core/handover.py
@@ -113,6 +113,9 @@
         self.send({"m": "failed", "id": self.id, "reason": reason.name,
                    "result": None if result is None else result_line(result, self.codec)})
 
+    def origin(self) -> tuple[str, str]:
+        return "", ""
+
     def start(self, request: Inbound) -> None:
         if self.send({"m": "start", "id": self.id}) is False:
             raise ConnectionError("the process that read it is gone")
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -304,6 +304,8 @@
         # Told by the Unix clock, which may have been set since the start: only its distance from now counts.
         # A time to come would put off the due time, and the window.
         r.arrived = self.now - max(0, self.wall() - r.arrived)
+        if self.answers.observer is not None:
+            self.answers.observer.arrived(r)
         if r.arrived + r.cls.deadline <= self.now:
             # Its caller has given up. The module would take so long a wait for what all others wait now.
             return self.turn_away(r, Reason.GIVEN_UP)
@@ -322,7 +324,7 @@
         r = self.live.get(m.id)
         if r is None:
             return
-        self.answers.settle(r)
+        self.answers.gone(r)
         self.tell(i.CallerGone(r.id, m.gave_up))
 
     def _ended(self, m: Ended) -> None:
@@ -450,6 +452,7 @@
 
     def execute(self, r: Inbound) -> None:
         """Hands it to what runs it."""
+        r.begun_at = self.now
         if not self.answers.execute(r):
             self.post(Ended(r.id, Result(i.Outcome.FAILED), 0))
 
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -43,6 +43,10 @@
 
     def failed(self, reason: Reason, result: Result | None = None) -> None: ...
 
+    def origin(self) -> tuple[str, str]:
+        """The name of the front, and the address that the caller called from; empty where not known."""
+        ...
+
 
 class Executor(Protocol):
     """Runs requests. It never blocks, and posts one Ended for each start, whatever happens."""
@@ -50,6 +54,19 @@
     def start(self, request: "Inbound") -> None: ...
 
 
+class Observer(Protocol):
+    """Hears of each request that the core decides on. It never blocks, and changes nothing."""
+
+    def arrived(self, request: "Inbound") -> None:
+        """It was read; `arrived` is by the core's clock."""
+        ...
+
+    def answered(self, request: "Inbound", figure: str | None, backoff: int) -> None:
+        """Nothing is owed for it any more: the figure that counted it, None where its caller left; `backoff`
+        (ns) that a refused one was told."""
+        ...
+
+
 class Waker(Protocol):
     """Lets one task sleep until it is woken or a span (seconds) is over."""
 
@@ -117,6 +134,7 @@
     write: bool = False
     caller: int = 0
     due: int = 0
+    begun_at: int = 0  # 0: not begun
     joined_at: int = 0
     answered: bool = False  # or the caller has gone: no answer is owed
     started: bool = False
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -140,6 +140,9 @@
         self.plain(HTTPStatus.SERVICE_UNAVAILABLE, "turned away, never run",
                    ((b"Retry-After", b"%d" % seconds),))
 
+    def origin(self) -> tuple[str, str]:
+        return "ajp", self.connection.stream.peer
+
     def failed(self, reason: Reason, result: Result | None = None) -> None:
         if result is not None and isinstance(result.detail, ajp.Reply):
             return self._respond(result.detail.headers, result.body)  # the server's own error page
--- a/ochrehoist/net/stream.py
+++ b/ochrehoist/net/stream.py
@@ -35,6 +35,14 @@
         self.wants_input = False
         self.on_close: Callable[[], None] | None = None
 
+    @property
+    def peer(self) -> str:
+        """The address of the other side; empty once it is not known any more."""
+        try:
+            return self.sock.getpeername()[0]
+        except OSError:
+            return ""
+
     # ---- reading
     def fill(self, timeout: float | None = None) -> None:
         """Waits for more bytes, or raises Closed or TimedOut."""
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -152,6 +152,9 @@
             values[b"final"] = b"1"
         self._reply(1, thrift.problem(values))
 
+    def origin(self) -> tuple[str, str]:
+        return "thrift", self.connection.stream.peer
+
     def failed(self, reason: Reason, result: Result | None = None) -> None:
         self._reply(2, thrift.problem({b"reason": reason.value.encode()}))
 
--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -21,6 +21,7 @@
 from ochrehoist.core.requests import Inbound, Joined, KeyId, Recorded, Refusal, Restored, Result
 from ochrehoist.interface import Outcome
 from ochrehoist.net.loop import Loop
+from ochrehoist.net.offloop import OffLoop
 from ochrehoist.settings import BadInput
 from ochrehoist.store import disk
 from ochrehoist.store.ageing import Stamp, aged
@@ -28,7 +29,6 @@
 from ochrehoist.store.clock import stamp_now
 from ochrehoist.store.disk import Failed, Held, Lock
 from ochrehoist.store.loss import held_for
-from ochrehoist.store.offloop import OffLoop
 from ochrehoist.store.opening import Opened, Witness, make_folder, must_hold_a_store, open_folder, rewrite
 from ochrehoist.store.points import reached
 from ochrehoist.store.records import Begun, Finished, Learned, key_of
--- a/ochrehoist/worker.py
+++ b/ochrehoist/worker.py
@@ -120,6 +120,13 @@
 
             self.journal = owner.filings.journal = Journal(
                 loop, owner, config.state, config.name, ReplyCodec(), self.log, self.inherited is not None)
+        self.capture: Any = None
+        if config.capture:
+            from ochrehoist.capture.taker import Capture
+
+            self.capture = Capture(loop, owner, config.capture, config.name, self.log)
+            owner.answers.observer = self.capture
+            takers.append(lambda new: self.capture.configure(new.settings))
         self.ending = Ending(loop, owner, self.fronts, config.stop_ms, self.log)
         self.room = {front: front.listening.limit for front in self.fronts}
         if config.link:
@@ -151,6 +158,8 @@
             self.successors.close()
         if self.journal:
             self.journal.close()
+        if self.capture:
+            self.capture.close()
         f = self.owner.figures
         self.log.info("ended", served=f.total("answered_total"), refused=f.total("deferred_total"),
                       failed=f.total("errored_total"))
@@ -168,6 +177,8 @@
                   "configuration": self.reloading.view()}
         if self.journal:
             values["store"] = self.journal.view()
+        if self.capture:
+            values["capture"] = self.capture.view()
         if self.kernel:
             values["kernel"] = self.kernel.view()
         return said(values, HTTPStatus.OK if o.ready else HTTPStatus.SERVICE_UNAVAILABLE)
