--- a/ochrehoist/plan/analytic.py
+++ b/ochrehoist/plan/analytic.py
@@ -146,8 +146,8 @@
 def steady(fleet: Fleet, speeds: Sequence[float], seed: int = 0) -> Steady:
     """`speeds`: of each worker in the fleet's order. The same for the same arguments.
 
-    Within an aim the work that comes swings about its mean, in a small fleet by much: goodput is that of three
-    loads, as Gauss and Hermite weigh them. Workers are told at the mean.
+    Within an aim the work that comes swings about its mean, in a small fleet by much: goodput is that of
+    three loads, as Gauss and Hermite weigh them. Workers are told at the mean.
     """
     middle, rate = _at(fleet, speeds, seed), fleet.load.rate
     aim = sum(c.share * c.aim_ms for c in fleet.classes) / 1000
--- a/ochrehoist/plan/fleet.py
+++ b/ochrehoist/plan/fleet.py
@@ -4,7 +4,7 @@
 """
 
 import tomllib
-from enum import Enum
+from enum import StrEnum
 from functools import cached_property
 from pathlib import Path
 from typing import Annotated, Any, Literal, Self
@@ -28,7 +28,7 @@
     model_config = ConfigDict(extra="forbid", frozen=True, ignored_types=(cached_property,))
 
 
-class Choice(str, Enum):
+class Choice(StrEnum):
     """How a router picks a worker."""
 
     ROUND = "round"  # one after the other
--- a/ochrehoist/plan/outcome.py
+++ b/ochrehoist/plan/outcome.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import StrEnum
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
@@ -12,7 +12,7 @@
 LONGEST_MS = 120_000
 
 
-class End(str, Enum):
+class End(StrEnum):
     IN_TIME = "in time"
     LATE = "late"
     REFUSED = "refused"
