--- a/benchmarks/read_cost.py
+++ b/benchmarks/read_cost.py
@@ -2,7 +2,8 @@
 run.
 
 `python -m benchmarks.read_cost REVISION [--reads N] [--rounds N]`; the revision comes from git, into a folder
-of its own that is removed again.
+of its own that is removed again. With `--capture` instead of a revision: AJP reads of this tree without and
+with its load on record.
 """
 
 import argparse
@@ -12,6 +13,8 @@
 import sys
 import tempfile
 import threading
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
@@ -53,12 +56,13 @@
     return (int(fields[11]) + int(fields[12])) * TICK
 
 
-def cost(root: Path, front: str, reads: int) -> float:
+def cost(root: Path, front: str, reads: int, capture: dict | None = None) -> float:
     """Microseconds of processor time for one read."""
     site = settings()
     site["FamilyInfo"] |= {"Cores": 16, "HeapKb": 90e6}
     how = {"thrift": front == "thrift", "ajp": front == "ajp"}
-    program = Program(**how, site=site, server=Instant(), kernel=InstantKernel(), root=root)
+    program = Program(**how, site=site, server=Instant(), kernel=InstantKernel(), root=root,
+                      capture=capture)
     try:
         client = program.thrift() if front == "thrift" else program.ajp()
         began = 0.0
@@ -75,27 +79,44 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("revision")
+    parser.add_argument("revision", nargs="?")
+    parser.add_argument("--capture", action="store_true")
     parser.add_argument("--reads", type=int, default=4000)
     parser.add_argument("--rounds", type=int, default=5)
     args = parser.parse_args()
+    if args.capture == (args.revision is not None):
+        parser.error("name a revision, or say --capture")
     with tempfile.TemporaryDirectory() as folder:
+        if args.capture:
+            on = {"folder": str(Path(folder, "load"))}
+            return compare("ajp", args, lambda: cost(ROOT, "ajp", args.reads),
+                           lambda: cost(ROOT, "ajp", args.reads, on))
         before = Path(folder, "before")
         subprocess.run(["git", "worktree", "add", "-q", "--detach", str(before), args.revision], cwd=ROOT,
                        check=True)
         try:
             for front in ("ajp", "thrift"):
-                pairs = []
-                for n in range(args.rounds):
-                    pair = [cost(root, front, args.reads) for root in ((before, ROOT), (ROOT, before))[n % 2]]
-                    pairs.append(pair if n % 2 == 0 else pair[::-1])
-                    print(f"{front}: {pairs[-1][0]:.0f} us before, {pairs[-1][1]:.0f} us now", flush=True)
-                ratios = sorted(now / then for then, now in pairs)
-                print(f"{front}: now/before {statistics.median(ratios):.3f} "
-                      f"({ratios[0]:.3f} to {ratios[-1]:.3f}), {args.reads} reads a round")
+                compare(front, args, partial(cost, before, front, args.reads),
+                        partial(cost, ROOT, front, args.reads))
         finally:
             subprocess.run(["git", "worktree", "remove", "--force", str(before)], cwd=ROOT, check=True)
 
 
+def compare(front: str, args: argparse.Namespace, then: Callable[[], float],
+            now: Callable[[], float]) -> None:
+    """Both by turns; each goes first in every second round."""
+    ratios = []
+    for n in range(args.rounds):
+        if n % 2:
+            after, before = now(), then()
+        else:
+            before, after = then(), now()
+        ratios.append(after / before)
+        print(f"{front}: {before:.0f} us before, {after:.0f} us now", flush=True)
+    ratios.sort()
+    print(f"{front}: now/before {statistics.median(ratios):.3f} ({ratios[0]:.3f} to {ratios[-1]:.3f}), "
+          f"{args.reads} reads a round")
+
+
 if __name__ == "__main__":
     main()
