Fit speeds, the crowd, reading, popularity and repeats from recorded load

What nobody has measured is in the captures: 'ochrehoist plan fit' estimates each with a 95% interval by resampling (Zipf's exponent by likelihood), or says why the capture cannot tell and gives no number. Tested against runs as the machine model has them: a speed of 0.7 and a crowd that slows from two a core are found within their intervals.

--- a/ochrehoist/cli/plan.py
+++ b/ochrehoist/cli/plan.py
@@ -155,6 +155,25 @@
     _show(values, as_json, tables)
 
 
+@plan.command(epilog="Example: ochrehoist plan fit /var/lib/ochrehoist-load")
+@click.argument("capture", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@_stops
+def fit(capture: tuple[Path, ...], as_json: bool) -> None:
+    """What recorded load tells of speeds, the crowd, reading, popularity and repeats, with intervals."""
+    from ochrehoist.capture.reader import read
+    from ochrehoist.plan.fit import fitted
+
+    recorded = read(capture)
+    for line in recorded.warnings():
+        click.echo(f"ochrehoist: {line}", err=True)
+    heads = ("what", "value", "low", "high", "count", "note")
+    found = [e.line() for e in fitted(recorded)]
+    _show({"estimates": found}, as_json, lambda v: [
+        (f"{len(recorded.entries)} requests in {recorded.seconds:.0f} s, {recorded.files} files", heads,
+         [tuple(e[key] for key in heads) for e in v["estimates"]])])
+
+
 @plan.command(epilog="Example: ochrehoist plan breaks deploy/fleet.toml --to 1.6")
 @FLEET
 @click.option("--to", default=1.5, show_default=True, help="The last step, as a share of the capacity.")
--- /dev/null
+++ b/ochrehoist/plan/fit.py
@@ -0,0 +1,152 @@
+"""What a capture tells of what nobody has measured: speeds, the crowd, reading, popularity, repeats.
+
+Each estimate has an interval (95%, by resampling) or says why the capture cannot tell. No I/O.
+"""
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+
+from ochrehoist.capture.reader import Capture, Entry
+from ochrehoist.capture.records import Outcome
+
+RESAMPLES = 300
+FEWEST = 40  # values under which nothing is said
+CLEAR = 0.93  # of the capacity, under which a crowd counts as slower
+SLOWS = "running a core, past which work slows"
+CALM = 0.5  # of the cores busy, up to which a wait to be read is reading itself
+
+
+@dataclass(frozen=True)
+class Estimate:
+    """`value` is None where the capture cannot tell; `note` says why, or what to mind."""
+
+    what: str
+    value: float | None
+    low: float | None = None
+    high: float | None = None
+    count: int = 0
+    note: str = ""
+
+    def line(self) -> dict[str, Any]:
+        return dict(self.__dict__)
+
+
+def estimated(what: str, values: np.ndarray, of: Callable[[np.ndarray], float], rng: np.random.Generator,
+              note: str = "") -> Estimate:
+    if len(values) < FEWEST:
+        return Estimate(what, None, count=len(values), note=f"only {len(values)} values; {FEWEST} are needed")
+    samples = [of(values[rng.integers(0, len(values), len(values))]) for _ in range(RESAMPLES)]
+    low, high = np.quantile(samples, (0.025, 0.975))
+    return Estimate(what, float(of(values)), float(low), float(high), len(values), note)
+
+
+def median(values: np.ndarray) -> float:
+    return float(np.median(values))
+
+
+def fitted(capture: Capture, seed: int = 1) -> list[Estimate]:
+    """All that can be told, workers by name. Raises ValueError where nothing is on record."""
+    if not capture.entries:
+        raise ValueError("no requests are on record")
+    rng, out = np.random.default_rng(seed), []
+    out.append(_rate(capture, rng))
+    by_class: dict[str, list[Entry]] = defaultdict(list)
+    by_worker: dict[str, list[Entry]] = defaultdict(list)
+    for e in capture.entries:
+        by_class[e.seen.cls].append(e)
+        by_worker[e.worker].append(e)
+    for name, entries in sorted(by_class.items()):
+        work = np.array([e.seen.work / 1e6 for e in entries if e.seen.work])
+        note = "" if len(work) else "no request stated its work"
+        out.append(estimated(f"{name}: stated work (ms)", work, lambda v: float(v.mean()), rng, note))
+        out.append(estimated(f"{name}: spread of it (cv)", work, lambda v: float(v.std() / v.mean()), rng))
+    cores = {h.name: h.cores for h in capture.heads}
+    for name, entries in sorted(by_worker.items()):
+        out += _machine(name, entries, cores[name], rng)
+    out += [_popularity(capture), _repeats(capture, rng)]
+    return out
+
+
+def _rate(capture: Capture, rng: np.random.Generator) -> Estimate:
+    """First tries a second, by whole seconds."""
+    firsts = [e.at for e in capture.entries if not e.seen.retry]
+    if capture.seconds < FEWEST:
+        return Estimate("first tries a second", len(firsts) / max(1.0, capture.seconds) / capture.sample,
+                        count=len(firsts), note=f"{capture.seconds:.0f} s are too short for an interval")
+    counts = Counter((at - capture.entries[0].at) // 1_000_000_000 for at in firsts)
+    values = np.array([counts[s] / capture.sample for s in range(int(capture.seconds))], dtype=float)
+    return estimated("first tries a second", values, lambda v: float(v.mean()), rng)
+
+
+def _ran(entries: list[Entry]) -> list[Entry]:
+    return [e for e in entries if e.seen.outcome == Outcome.SERVED and e.seen.ran > 0 and e.seen.work]
+
+
+def _machine(name: str, entries: list[Entry], cores: int, rng: np.random.Generator) -> list[Estimate]:
+    """Speed, crowd and reading of one worker. A run's neighbours are those that ran as it came."""
+    ran = _ran(entries)
+    alone = np.array([e.seen.work / e.seen.ran for e in ran if e.seen.running < cores])
+    note = "" if len(alone) >= FEWEST else "too few runs began while a core was free"
+    speed = estimated(f"{name}: speed of a core", alone, median, rng, note)
+    out = [speed]
+    if speed.value is None:
+        return out + [Estimate(f"{name}: {SLOWS}", None, note="no speed is known")]
+    by_crowd: dict[float, list[float]] = defaultdict(list)
+    for e in ran:
+        n = e.seen.running + 1
+        share = min(1.0, cores / n) * speed.value
+        by_crowd[math.floor(2 * n / cores) / 2].append(e.seen.work / e.seen.ran / share)
+    slow, most = None, 0.0
+    for crowd, parts in sorted(by_crowd.items()):
+        if len(parts) < FEWEST or crowd < 1:
+            continue
+        most = crowd
+        at = estimated("", np.array(parts), median, rng)
+        if at.high < CLEAR and slow is None:
+            slow = Estimate(f"{name}: {SLOWS}", crowd, crowd - 0.5, crowd + 0.5,
+                            len(parts), f"to {at.value:.2f} of the capacity there")
+    never = f"it was never seen to slow, up to {most:g} running a core"
+    out.append(slow or Estimate(f"{name}: {SLOWS}", None, note=never))
+    calm = np.array([e.seen.unread / 1e9 for e in entries if e.seen.running <= CALM * cores and not e.seen.held])
+    work = np.array([e.seen.work / 1e9 for e in entries if e.seen.work])
+    if len(work):
+        mean = float(work.mean())
+        out.append(estimated(f"{name}: reading, of the mean work", calm * speed.value / mean, median, rng,
+                             "an upper bound: what passed before the request was read"))
+    return out
+
+
+def _popularity(capture: Capture) -> Estimate:
+    """The exponent of Zipf's law by likelihood, in the file with most subjects: hashes differ by file."""
+    what = "popularity of subjects (zipf)"
+    files: dict[tuple[str, int], Counter] = defaultdict(Counter)
+    for e in capture.entries:
+        if e.subject and not e.seen.retry:
+            files[e.worker, e.at - e.seen.at][e.subject] += 1
+    counts = max(files.values(), key=len, default=Counter())
+    total = sum(counts.values())
+    if total < 10 * FEWEST or len(counts) < FEWEST:
+        return Estimate(what, None, count=total, note="too few requests name a subject")
+    frequency = np.sort(np.array(list(counts.values()), dtype=float))[::-1]
+    ranks = np.log(np.arange(1, len(frequency) + 1))
+
+    def loss(s: float) -> float:
+        weights = -s * ranks
+        return float(-(frequency * weights).sum() + total * np.log(np.exp(weights).sum()))
+
+    grid = np.linspace(0.0, 2.5, 501)
+    losses = np.array([loss(s) for s in grid])
+    best = int(losses.argmin())
+    inside = grid[losses <= losses[best] + 1.92]  # 95% by the likelihood ratio
+    note = "of the sampled subjects" if capture.sample < 1 else "subjects never asked for are not counted"
+    return Estimate(what, float(grid[best]), float(inside.min()), float(inside.max()), total, note)
+
+
+def _repeats(capture: Capture, rng: np.random.Generator) -> Estimate:
+    marks = np.array([float(e.seen.retry) for e in capture.entries])
+    return estimated("marked repeats, of all requests", marks, lambda v: float(v.mean()), rng)
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -16,6 +16,7 @@
 from ochrehoist.plan.cores import Cores, Machine
 from ochrehoist.plan.demand import Streams, captured, drawn, speeds
 from ochrehoist.plan.events import Simulation, Trouble
+from ochrehoist.plan.fit import fitted
 from ochrehoist.plan.fleet import BadFleet, Choice, Clients, Routers, parse
 from ochrehoist.plan.questions import Unanswerable, forecast, lose, ranged, size, with_workers
 from ochrehoist.plan.routing import Answer, Call, Next, Router, after, rendezvous
@@ -274,6 +275,43 @@
         self.assertEqual([c.subject for c in calls], [c.subject for c in heavier])
 
 
+class Fit(unittest.TestCase):
+    def entries(self, speed=0.7, cores=4, slow_from=2.0, count=3000, crowd=24):
+        """Runs as a machine of that speed would have them, beside so many others as the model has it."""
+        rng, machine = Streams(5)["work"], Machine(cores, speed, slow_from=slow_from, slow_to=0.4, crowd=8.0)
+        out = []
+        for n in range(count):
+            running, work = int(rng.integers(0, crowd)), float(rng.lognormal(-1.2, 0.6))
+            rate = machine.speed * machine.efficiency(running + 1) * min(1.0, cores / (running + 1))
+            subject, stated = int(rng.zipf(1.9)), int(work * 1e9 * rng.lognormal(0, 0.1))
+            seen = Seen(n * 10**7, "read", None, "ajp", subject, stated, 1, "", n % 10 == 0, 0, 15_000_000, 0,
+                        int(work / rate * 1e9), running, 0)
+            out.append(Entry("n1", n * 10**7, seen, subject))
+        return Capture([Head("n1", 0, 1.0, cores, 1.0, (), ())], out)
+
+    def told(self, capture):
+        return {e.what: e for e in fitted(capture)}
+
+    def test_speed_crowd_and_repeats_are_found_within_their_intervals(self):
+        found = self.told(self.entries())
+        speed = found["n1: speed of a core"]
+        self.assertTrue(speed.low <= 0.7 * 1.02 and speed.high >= 0.7 * 0.98, speed)
+        self.assertAlmostEqual(found["n1: running a core, past which work slows"].value, 2.5, delta=0.6)
+        repeats = found["marked repeats, of all requests"]
+        self.assertTrue(repeats.low <= 0.1 <= repeats.high)
+        rate = found["first tries a second"]
+        self.assertAlmostEqual(rate.value, 90.0, delta=4)
+
+    def test_what_a_capture_cannot_tell_gets_no_number(self):
+        found = self.told(self.entries(crowd=4))  # never more than the cores
+        self.assertIsNone(found["n1: running a core, past which work slows"].value)
+        self.assertIn("never seen to slow", found["n1: running a core, past which work slows"].note)
+        few = self.told(self.entries(count=30))
+        self.assertIsNone(few["n1: speed of a core"].value)
+        self.assertIsNone(few["popularity of subjects (zipf)"].value)
+        self.assertRaises(ValueError, fitted, Capture())
+
+
 class Commands(unittest.TestCase):
     def test_a_forecast_from_the_shell_and_faults_in_a_line_each(self):
         example = str(ROOT / "deploy/fleet.toml")
