Measure real workers on stand-in machines beside the forecast of the same draw

The planner's figures had not met a worker. 'ochrehoist plan measure' starts real workers of this program, each on a stand-in machine whose kernel lets the modelled cores run in real time, behind stand-in routers that decide by the model's own rules, and sets goodput beside the forecast.

--- a/ochrehoist/cli/plan.py
+++ b/ochrehoist/cli/plan.py
@@ -246,6 +246,36 @@
            f"{v['tips_over']} of {v['seeds']}")])])
 
 
+@plan.command(epilog="Example: ochrehoist plan measure small.toml --demand 1.05 --seconds 25")
+@FLEET
+@click.option("--demand", type=float, help="Load as a share of the capacity, not as described.")
+@click.option("--seconds", default=25.0, show_default=True, type=click.FloatRange(12, 600))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--lose", "lost", metavar="SITE", help="A site that is lost at the middle.")
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@_stops
+def measure(fleet: Path, demand: float | None, seconds: float, seed: int, lost: str | None,
+            as_json: bool) -> None:
+    """Start real workers on stand-in machines, play the load in real time, and set it beside the forecast."""
+    from ochrehoist.plan.measure import Failed
+    from ochrehoist.plan.questions import measured
+
+    f = _load(fleet)
+    if demand is not None:
+        f = f.at(demand)
+    try:
+        with Progress(as_json) as progress:
+            values = measured(f, seed, seconds, lost, progress)
+    except Failed as error:
+        _end(str(error), NO)
+    _show(values, as_json, lambda v: [
+        (f"{len(f.placed_workers)} workers, {f.demand:.0%} of the capacity", ("", "measured", "forecast"),
+         [("goodput", v["measured"]["goodput"], v["forecast"]["goodput"]),
+          ("tries for each call", v["measured"]["tries_per_call"], v["forecast"]["tries_per_call"]),
+          *((name, c["goodput"], v["forecast"]["classes"][name]["goodput"])
+            for name, c in v["measured"]["classes"].items())])])
+
+
 @plan.command(epilog="Example: ochrehoist plan compare today.toml tomorrow.toml --seeds 6")
 @click.argument("a", type=click.Path(path_type=Path))
 @click.argument("b", type=click.Path(path_type=Path))
--- a/ochrehoist/plan/fit.py
+++ b/ochrehoist/plan/fit.py
@@ -112,7 +112,8 @@
                             len(parts), f"to {at.value:.2f} of the capacity there")
     never = f"it was never seen to slow, up to {most:g} running a core"
     out.append(slow or Estimate(f"{name}: {SLOWS}", None, note=never))
-    calm = np.array([e.seen.unread / 1e9 for e in entries if e.seen.running <= CALM * cores and not e.seen.held])
+    calm = np.array([e.seen.unread / 1e9 for e in entries
+                     if e.seen.running <= CALM * cores and not e.seen.held])
     work = np.array([e.seen.work / 1e9 for e in entries if e.seen.work])
     if len(work):
         mean = float(work.mean())
--- a/ochrehoist/plan/fleet.py
+++ b/ochrehoist/plan/fleet.py
@@ -280,6 +280,27 @@
             worth_by_work=True, over_share_worth=self.over_share_worth, backoff_relayed=True,
             max_backoff=1000 * MS, readiness=True, idle=int(self.intake.idle_s * 1000 * MS), step=4 * MS)
 
+    def told(self, kind: Kind) -> dict[str, Any]:
+        """The same as the platform's settings object, for a real worker."""
+        ns = 1_000_000_000
+        names = {repeat: name for name, repeat in REPEATS.items()}
+        s = self.settings(kind, cold=False)
+        return {
+            "Classes": [{"Name": c.name, "Slo": c.aim, "Deadline": c.deadline, "Gain": c.worth,
+                         "LateValue": c.late_worth, "Repeat": names[c.repeat]}
+                        | ({"Window": c.window} if c.window else {}) for c in s.classes],
+            "Tenants": [{"Name": t.name, "QuotaPerS": t.quota_per_s, "Fraction": t.share} for t in s.tenants],
+            "FamilyInfo": {"Cores": s.cores, "HeapKb": s.memory_kb, "RunFactor": s.run_factor,
+                           "KeyKb": s.key_kb, "Callers": s.callers, "Idle": s.idle, "TellsGone": True,
+                           "Readiness": True, "OwnStats": ["cpu_busy", "runnable"]},
+            "FleetSize": s.fleet_size, "Step": s.step, "WorthBy": "work",
+            "OverShareWorth": s.over_share_worth, "ClientHabits": {"MarksRetry": True},
+            "ResultMix": {"Whole": s.goal.whole, "WorstWindow": s.goal.worst_window,
+                          "WorstClass": s.goal.worst_class, "WorstTenant": s.goal.worst_tenant},
+            "PolicyLimits": {"RetryAfter": True, "MaxRetryAfter": s.max_backoff},
+            "Rules": {"Cold": max(1, s.cold), "ColdFrom": s.cold_from, "DrainGrace": s.drain_grace,
+                      "Fall": int(1.5 * ns), "GraceToAnswer": s.answer_grace, "TipMultiple": s.tip_multiple}}
+
     def quota(self, tenant: Tenant) -> float:
         return tenant.quota_per_s if tenant.quota_per_s is not None else tenant.share * self.load.rate
 
--- a/ochrehoist/plan/questions.py
+++ b/ochrehoist/plan/questions.py
@@ -228,6 +228,22 @@
             "seconds_line": got[0]["seconds"], "events": got[0]["events"]}
 
 
+def measured(fleet: Fleet, seed: int, seconds: float, lost: str | None, progress: Progress) -> dict[str, Any]:
+    """One run in real time with real workers, and the forecast of the same draw. Raises measure.Failed."""
+    from ochrehoist.plan.measure import Play
+
+    troubles: tuple[Trouble, ...] = ()
+    if lost is not None:
+        which = tuple(n for n, w in enumerate(fleet.placed_workers) if w.site == lost)
+        if not which or len(which) == len(fleet.placed_workers):
+            raise Unanswerable(f"{lost!r} holds {len(which)} of {len(fleet.placed_workers)} workers")
+        troubles = (Trouble(seconds / 2, which, None, lost),)
+    forecast_of = Simulation(fleet, seed, seconds, troubles=troubles).run()
+    real = Play(fleet, seed, seconds, troubles=troubles).run(lambda share: progress(int(share * 100), 100))
+    return {"measured": real.values(), "forecast": forecast_of.values(),
+            "ratio": forecast_of.goodput / max(1e-9, real.goodput)}
+
+
 def compare(a: Fleet, b: Fleet, seeds: Sequence[int], seconds: float, jobs: int,
             progress: Progress) -> dict[str, Any]:
     """Two fleets on the same seeds: each one's goodput, and the interval of the difference, pair by pair."""
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -1,6 +1,7 @@
 """The planner: descriptions of fleets, the models and the questions, against what must hold of any fleet."""
 
 import copy
+import dataclasses
 import json
 import tomllib
 import unittest
@@ -18,8 +19,11 @@
 from ochrehoist.plan.events import Simulation, Trouble
 from ochrehoist.plan.fit import fitted
 from ochrehoist.plan.fleet import BadFleet, Choice, Clients, Routers, parse
+from ochrehoist.plan.measure import Play
+from ochrehoist.plan.outcome import End
 from ochrehoist.plan.questions import Unanswerable, forecast, lose, ranged, size, with_workers
 from ochrehoist.plan.routing import Answer, Call, Next, Router, after, rendezvous
+from ochrehoist.settings import settings_from
 
 EXAMPLE = tomllib.loads((ROOT / "deploy/fleet.toml").read_text())
 
@@ -312,6 +316,26 @@
         self.assertRaises(ValueError, fitted, Capture())
 
 
+class Measure(unittest.TestCase):
+    def test_a_worker_is_told_the_same_as_the_model(self):
+        f = fleet()
+        kind = f.kinds[0]
+        told = settings_from(f.told(kind))
+        model = f.settings(kind, cold=False)
+        self.assertEqual(dataclasses.replace(told, cold=0), dataclasses.replace(model, cold=0))
+
+    def test_real_workers_answer_each_call_once_and_a_lost_one_ends_its_own(self):
+        f = fleet(clients__retries=1, membership__lag_s=0.2).at(0.5)
+        play = Play(f, 1, 5.0, settle=0.0, troubles=(Trouble(2.5, (0,), None, "one"),))
+        tally = play.run()
+        self.assertEqual(sum(tally.ends.values()), len(play.wishes))
+        self.assertEqual([text for _, text in tally.events], ["one lost"])
+        self.assertGreater(tally.share(End.IN_TIME) + tally.share(End.LATE), 0.3)
+        self.assertEqual([s.process.poll() is None for s in play.stands], [False] * 3)
+        for stand in play.stands:
+            self.assertLessEqual(len(stand.begun), stand.count.tries)
+
+
 class Commands(unittest.TestCase):
     def test_a_forecast_from_the_shell_and_faults_in_a_line_each(self):
         example = str(ROOT / "deploy/fleet.toml")
