--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -373,19 +373,14 @@
             self.log.info("standby" if m.on else "active", in_hand=self.owed)
             self._judge()
 
-    def _recorded(self, m: Recorded) -> None:
-        self.filings.recorded(m)
-
-    def _restored(self, m: Restored) -> None:
-        self.filings.restored(m)
-
     def _linked(self, m: Linked) -> None:
         self.linked = m.up
         self._judge()
 
     TAKES = {Booted: _booted, Arrived: _arrived, Gone: _gone, Ended: _ended, Joined: _joined,
              Gauges: _measured, Leaving: _leaving, Standby: _stood_by, Linked: _linked, Retuned: _retuned,
-             TakenOver: _taken_over, Recorded: _recorded, Restored: _restored}
+             TakenOver: _taken_over, Recorded: lambda self, m: self.filings.recorded(m),
+             Restored: lambda self, m: self.filings.restored(m)}
 
     # ---- time
     def _fall_due(self) -> None:
@@ -457,13 +452,11 @@
             self.post(Ended(r.id, Result(i.Outcome.FAILED), 0))
 
     def _refuse(self, a: i.Refuse) -> None:
-        r = self.live.get(a.id)
-        if r is not None:
+        if (r := self.live.get(a.id)) is not None:
             self.answers.refuse(r, a.backoff, a.no_retry)
 
     def _give_up(self, a: i.Fail) -> None:
-        r = self.live.get(a.id)
-        if r is not None:
+        if (r := self.live.get(a.id)) is not None:
             self.answers.fail(r, Reason.GIVEN_UP)
 
     def _keep(self, a: i.Keep) -> None:
@@ -475,8 +468,7 @@
         self.keys.forget(a.id)
 
     def _join(self, a: i.Join) -> None:
-        r = self.live.get(a.id)
-        if r is not None:
+        if (r := self.live.get(a.id)) is not None:
             self.filings.join(r)
 
     def _set_health(self, a: i.Health) -> None:
