--- a/benchmarks/read_cost.py
+++ b/benchmarks/read_cost.py
@@ -20,24 +20,14 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "tests"))
 
-from stand_ins import AjpServer, Kernel, Program, settings  # noqa: E402
+from stand_ins import Kernel, Program, settings  # noqa: E402
+
+from benchmarks.state_load import Instant  # noqa: E402
 
 WARM = 300  # reads before the ones that count
 TICK = 1 / os.sysconf("SC_CLK_TCK")
 
 
-class Instant(AjpServer):
-    """Answers each request at once."""
-
-    def __init__(self):
-        super().__init__()
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            self.got.get()[2](data=b"a small page")
-
-
 class InstantKernel(Kernel):
     """Ends each run at once."""
 
--- a/ochrehoist/capture/reader.py
+++ b/ochrehoist/capture/reader.py
@@ -1,12 +1,10 @@
 """Captures as tools read them: files of one or more workers, put in order, with what is missing told."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from pathlib import Path
 
-from ochrehoist.capture.records import Damage, Head, Lost, Outcome, Seen, Unusable, records
-
-SUFFIX = ".ochrecap"
+from ochrehoist.capture.records import SUFFIX, Damage, Head, Lost, Outcome, Seen, Unusable, records
 
 
 @dataclass(frozen=True)
@@ -97,8 +95,3 @@
     # Each is written when it ends: by the time that it came they are out of order.
     out.entries.sort(key=lambda e: e.at)
     return out
-
-
-def without_repeats(capture: Capture) -> Capture:
-    """Only first tries: what clients wanted, not what routers made of it."""
-    return replace(capture, entries=[e for e in capture.entries if not e.seen.retry])
--- a/ochrehoist/capture/records.py
+++ b/ochrehoist/capture/records.py
@@ -15,7 +15,7 @@
 import xxhash
 import zstandard
 
-MAGIC, MAJOR = b"ochrecap", 1
+MAGIC, MAJOR, SUFFIX = b"ochrecap", 1, ".ochrecap"
 HEADER = len(MAGIC) + 1
 MAX_BLOCK = 16 << 20  # bytes of a block; more is damage
 LEVEL = 3
--- a/ochrehoist/capture/taker.py
+++ b/ochrehoist/capture/taker.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from ochrehoist.capture.pace import Batches, Sample, file_ends, surplus
-from ochrehoist.capture.records import NEVER, Head, Lost, Outcome, Record, Seen, block, start
+from ochrehoist.capture.records import NEVER, SUFFIX, Head, Lost, Outcome, Record, Seen, block, start
 from ochrehoist.config import CaptureConfig
 from ochrehoist.core.answers import ANSWERED, REFUSED
 from ochrehoist.core.owner import Owner
@@ -23,7 +23,6 @@
 
 FLUSH = 1.0  # s after which what waits is written, full or not
 END = 1.0  # s at the most for the last writes
-SUFFIX = ".ochrecap"
 
 
 class Opened:
--- a/ochrehoist/plan/cores.py
+++ b/ochrehoist/plan/cores.py
@@ -4,6 +4,7 @@
 together get less done, down to `slow_to` of the capacity at the survivable crowd. A cold one warms evenly.
 """
 
+from collections import deque
 from collections.abc import Hashable
 from dataclasses import dataclass
 from heapq import heappop, heappush
@@ -33,6 +34,7 @@
         return self.cold_from + (1 - self.cold_from) * max(0.0, age_s) / self.cold_s
 
 
+BUSY_OVER = 0.5  # s that the gauge of busy cores looks back
 WARMING_STEP = 0.25  # s at most between looks at a cold machine's speed
 
 
@@ -48,6 +50,15 @@
         self.running: dict[Hashable, float] = {}
         self.busy_s = 0.0  # core seconds used
         self.work_s = 0.0  # work done
+        self.looks: deque[tuple[float, float]] = deque([(now, 0.0)])  # at busy_s, for the gauge
+
+    def busy_share(self, now: float) -> float:
+        """Of the cores, over the last half second; `advance` up to now first."""
+        while len(self.looks) > 1 and self.looks[1][0] <= now - BUSY_OVER:
+            self.looks.popleft()
+        then, busy = self.looks[0]
+        self.looks.append((now, self.busy_s))
+        return min(1.0, (self.busy_s - busy) / max(1e-9, (now - then) * self.machine.cores))
 
     def rate(self) -> float:
         """Work done for each that runs, in a second."""
--- a/ochrehoist/plan/events.py
+++ b/ochrehoist/plan/events.py
@@ -21,7 +21,6 @@
 
 EPOCH = 1_700_000_000  # s; the workers' Unix clock at the start
 NEAR = 0.0003  # s one way within a site
-BUSY_OVER = 0.5  # s that the gauge of busy cores looks back
 NS = 1_000_000_000
 RESULT_BYTES = 64_000_000
 LEAST = 1e-6  # s between two looks at a worker
@@ -112,7 +111,6 @@
         self.reading, self.running = 0, 0
         self.tries: dict[str, Try] = {}  # that came and are not answered
         self.callers: dict[int, float] = {}  # connections, and when each was last used
-        self.looks: deque[tuple[float, float]] = deque([(sim.now, 0.0)])  # at the cores' busy seconds
         self.owner = Owner(sim.fleet.settings(self.kind, cold), sim.seed * 1000 + self.number, Waker(),
                            self._clock, self._clock, self.log, RESULT_BYTES, self._measure)
         self.owner.listeners.append(self)
@@ -135,13 +133,8 @@
         return int((EPOCH + self.sim.now) * NS)
 
     def _measure(self) -> None:
-        c, now = self.cores, self.sim.now
-        while len(self.looks) > 1 and self.looks[1][0] <= now - BUSY_OVER:
-            self.looks.popleft()
-        then, busy = self.looks[0]
-        self.looks.append((now, c.busy_s))
-        share = (c.busy_s - busy) / max(1e-9, (now - then) * self.machine.cores)
-        self.owner.post(Gauges({"cpu_busy": min(1.0, share), "runnable": float(len(c.running))}))
+        share = self.cores.busy_share(self.sim.now)
+        self.owner.post(Gauges({"cpu_busy": share, "runnable": float(len(self.cores.running))}))
 
     # ---- what the core wants
     def start(self, request: Inbound) -> None:
--- a/ochrehoist/plan/measure.py
+++ b/ochrehoist/plan/measure.py
@@ -21,7 +21,7 @@
 from ochrehoist.net import thrift
 from ochrehoist.plan.cores import Cores, Machine
 from ochrehoist.plan.demand import Streams, Wish, drawn, speeds
-from ochrehoist.plan.events import BUSY_OVER, Trouble
+from ochrehoist.plan.events import Trouble
 from ochrehoist.plan.fleet import Fleet, Placed
 from ochrehoist.plan.outcome import End, Quota, Tally, WorkerCount
 from ochrehoist.plan.routing import UNREACHABLE_S, Answer, Call, Next, Router, after
@@ -54,13 +54,12 @@
     async def start(self, cold: bool) -> None:
         self.cold, now = cold, self.play.now()
         self.cores = Cores(self.machine, now, cold)
-        self.unread: deque[tuple[int, asyncio.Future]] = deque()
+        self.unread: deque[asyncio.Future] = deque()
         self.reading, self.notices = 0, []
         self.work: dict[str, float] = {}  # of requests that are open, by id
         self.begun: set[str] = set()
         self.link: asyncio.StreamWriter | None = None
         self.linked = asyncio.Event()
-        self.looks: deque[tuple[float, float]] = deque([(now, 0.0)])
         self.connections: dict[int, list[Connection]] = {}
         self.server = await asyncio.start_server(self._kernel, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
@@ -92,7 +91,7 @@
             self.timer.cancel()
         if self.server is not None:
             self.server.close()
-        for _, future in self.unread:
+        for future in self.unread:
             if not future.done():
                 future.set_result(False)
 
@@ -108,7 +107,7 @@
                 self._notice({"cmd": "REAP", "req": what, "result": "OK",
                               "elapsed_ms": round((now - since) * 1000, 3), "payload": ""})
         while self.unread and self.reading < self.machine.cores:
-            _, future = self.unread.popleft()
+            future = self.unread.popleft()
             if not future.done():
                 self.reading += 1
                 self.cores.start(("read", future, now), self.read_s)
@@ -121,7 +120,7 @@
     def arrives(self) -> asyncio.Future:
         """Done with True once a core has read what came now; with False where the machine is lost."""
         future = self.play.loop.create_future()
-        self.unread.append((0, future))
+        self.unread.append(future)
         self.kick()
         return future
 
@@ -160,13 +159,7 @@
         self.kick()
 
     def _gauges(self) -> list[float]:
-        c, now = self.cores, self.play.now()
-        while len(self.looks) > 1 and self.looks[1][0] <= now - BUSY_OVER:
-            self.looks.popleft()
-        then, busy = self.looks[0]
-        self.looks.append((now, c.busy_s))
-        share = (c.busy_s - busy) / max(1e-3, (now - then) * self.machine.cores)
-        return [min(1.0, share), float(len(c.running))]
+        return [self.cores.busy_share(self.play.now()), float(len(self.cores.running))]
 
     def _notice(self, notice: dict[str, Any]) -> None:
         self.notices.append(notice | {"offset": len(self.notices) + 1})
@@ -289,7 +282,6 @@
             self.began = time.monotonic()
             for s in self.stands:  # their machines' clocks begin with the load
                 s.cores = Cores(s.machine, 0.0)
-                s.looks = deque([(0.0, 0.0)])
             for t in self.troubles:
                 self.loop.call_later(t.at, partial(self._lose, t))
                 if t.back is not None:
