Draw the planner's answers as pages, compare two captures, and bear the loss of a machine

The lines at fault: captured() left out every marked try, also those whose first try had reached no worker, as its router knew of none to send it to (7% of the calls). A capture's callers went to routers by hash(str), another in each process.

--- a/benchmarks/plan/__main__.py
+++ b/benchmarks/plan/__main__.py
@@ -1,10 +1,12 @@
 """The planner's forecasts beside real workers on loopback: each case in real time, and its draw forecast.
 
-`python -m benchmarks.plan [--jobs N] [--seconds N] [CASE ...]`. The cases were written down before they ran.
+`python -m benchmarks.plan [--jobs N] [--seconds N] [--seeds N ...] [CASE ...]`. The cases were written down
+before they ran.
 """
 
 import argparse
 import copy
+import json
 import tomllib
 from pathlib import Path
 
@@ -62,20 +64,26 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--jobs", type=int, default=2, help="cases side by side; each has up to five workers")
     parser.add_argument("--seconds", type=float, default=25.0)
-    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1])
+    parser.add_argument("--json", type=Path, help="keep all figures in this file")
     parser.add_argument("cases", nargs="*", choices=[*CASES, []])
     given = parser.parse_args()
     names = given.cases or list(CASES)
     runs = joblib.Parallel(n_jobs=given.jobs, return_as="generator")(
-        joblib.delayed(made)(name, given.seed, given.seconds) for name in names)
-    worst = 0.0
-    print(f"{'case':28} measured  forecast  ratio  refused, measured and forecast")
-    for name, _, v in runs:
+        joblib.delayed(made)(name, seed, given.seconds) for name in names for seed in given.seeds)
+    worst, kept = 0.0, []
+    print(f"{'case':26} seed  measured  forecast  ratio  refused, measured and forecast  calls late, p99 ms")
+    for name, seed, v in runs:
         m, f = v["measured"], v["forecast"]
         worst = max(worst, abs(v["ratio"] - 1))
-        print(f"{name:28} {m['goodput']:8.3f}  {f['goodput']:8.3f}  {v['ratio']:5.3f}  "
-              f"{m['shares']['refused']:.3f} {f['shares']['refused']:.3f}", flush=True)
+        kept.append({"case": name, "seed": seed, "measured": m["goodput"], "forecast": f["goodput"],
+                     "late_p99_ms": v["late_p99_ms"]})
+        print(f"{name:26} {seed:4}  {m['goodput']:8.3f}  {f['goodput']:8.3f}  {v['ratio']:5.3f}  "
+              f"{m['shares']['refused']:.3f} {f['shares']['refused']:.3f}  {v['late_p99_ms']:.0f}",
+              flush=True)
     print(f"furthest from 1: {worst:.1%}")
+    if given.json:
+        given.json.write_text(json.dumps(kept, indent=1) + "\n")
 
 
 if __name__ == "__main__":
--- a/ochrehoist/cli/plan.py
+++ b/ochrehoist/cli/plan.py
@@ -2,71 +2,89 @@
 
 import json
 from collections.abc import Callable
-from functools import wraps
 from pathlib import Path
 from typing import Any
 
 import click
 
-NO, WRONG = 1, 2
+from ochrehoist.cli.common import NO, WRONG, end, stops
+
 EXTRA = "the planner's libraries are missing: install them by `pip install 'ochrehoist[plan]'`"
 FLEET = click.argument("fleet", type=click.Path(path_type=Path))
+META = "ochrehoist.plan"
+MOST_LATE_MS = 50.0  # p99 by which a measurement's calls may begin late
 
 
-def _stops(call: Callable[..., Any]) -> Callable[..., Any]:
+@stops
+def _stops(error: BaseException) -> None:
     """What can't be used or answered is told in a line for each fault, with what to do."""
-    @wraps(call)
-    def guarded(*args: Any, **more: Any) -> Any:
-        try:
-            from ochrehoist.capture.records import Unusable
-            from ochrehoist.plan.fleet import BadFleet
-            from ochrehoist.plan.questions import Unanswerable
-        except ImportError as error:
-            _end(f"{EXTRA} ({error})", WRONG)
-        try:
-            return call(*args, **more)
-        except (BadFleet, Unusable, OSError, ValueError) as error:
-            _end(str(error), WRONG)
-        except Unanswerable as error:
-            _end(f"no number can be given: {error}", NO)
-        except KeyboardInterrupt:
-            _end("stopped before anything was known", NO)
-
-    return guarded
-
-
-def _end(text: str, code: int) -> None:
-    for line in text.splitlines():
-        click.echo(f"ochrehoist: {line}", err=True)
-    raise click.exceptions.Exit(code)
+    if isinstance(error, KeyboardInterrupt):
+        end("stopped before anything was known", NO)
+    if isinstance(error, ImportError):
+        end(f"{EXTRA} ({error})", WRONG)
+    from ochrehoist.capture.records import Unusable
+    from ochrehoist.plan.fleet import BadFleet
+    from ochrehoist.plan.questions import Unanswerable
+
+    if isinstance(error, Unanswerable):
+        end(f"no number can be given: {error}", NO)
+    if isinstance(error, (BadFleet, Unusable, OSError, ValueError)):
+        end(str(error), WRONG)
+
+
+def _kept(ctx: click.Context, option: click.Parameter, value: Any) -> None:
+    ctx.meta.setdefault(META, {})[option.name] = value
+
+
+def _wanted(name: str) -> Any:
+    return click.get_current_context().meta.get(META, {}).get(name)
+
+
+def _shown(call: Callable[..., Any]) -> Callable[..., Any]:
+    """The forms that an answer may take."""
+    for option in (
+            click.option("--pictures", is_flag=True, expose_value=False, callback=_kept,
+                         help="With --html: each picture as PNG beside it."),
+            click.option("--html", type=click.Path(path_type=Path), metavar="FILE", expose_value=False,
+                         callback=_kept, help="Write a page with tables and pictures; it needs no network."),
+            click.option("--json", "as_json", is_flag=True, expose_value=False, callback=_kept,
+                         help="As JSON.")):
+        call = option(call)
+    return call
+
+
+DEMAND = click.option("--demand", type=float, callback=_kept, expose_value=False,
+                      help="Load as a share of the capacity, not as described.")
 
 
 def _common(call: Callable[..., Any]) -> Callable[..., Any]:
     for option in (
-            click.option("--json", "as_json", is_flag=True, help="As JSON."),
+            DEMAND,
             click.option("--jobs", default=-1, show_default=True, help="Processes; -1: one for each core."),
             click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(12, 3600),
                          help="Of fleet time in each run; the first five are not counted."),
             click.option("--seeds", default=4, show_default=True, type=click.IntRange(1, 1000),
                          help="Runs, each with another draw; two or more give an interval.")):
         call = option(call)
-    return call
+    return _shown(call)
 
 
 def _load(path: Path) -> Any:
     from ochrehoist.plan.fleet import load
 
-    return load(path)
+    fleet, demand = load(path), _wanted("demand")
+    return fleet if demand is None else fleet.at(demand)
 
 
 class Progress:
     """A bar on standard error, where somebody looks."""
 
-    def __init__(self, as_json: bool) -> None:
+    def __init__(self) -> None:
         from rich.console import Console
         from rich.progress import Progress as Bar
 
-        self.bar = Bar(console=Console(stderr=True), transient=True, disable=as_json)
+        self.bar = Bar(console=Console(stderr=True), transient=True,
+                       disable=_wanted("as_json"))
         self.task = self.bar.add_task("runs", total=None)
 
     def __enter__(self) -> Callable[[int, int], None]:
@@ -77,27 +95,34 @@
         self.bar.stop()
 
 
-def _show(values: dict[str, Any], as_json: bool, tables: Callable[[dict[str, Any]], list[tuple]]) -> None:
-    if as_json:
+def _show(question: str, title: str, values: dict[str, Any], tables: Callable[[dict[str, Any]], list[tuple]],
+          notes: list[str] = ()) -> None:
+    """The answer as a table or as JSON, and as a page where one is wanted; notes go to standard error too."""
+    from ochrehoist.plan.report import told
+
+    for line in notes:
+        click.echo(f"ochrehoist: {line}", err=True)
+    if html := _wanted("html"):
+        from ochrehoist.plan import report
+
+        made = "by `" + click.get_current_context().command_path + "`; forecasts are no measurements"
+        text = report.page(question, title, made, values, tables(values), notes)
+        for path in report.save(html, text, question, values, _wanted("pictures")):
+            click.echo(f"ochrehoist: {path} written", err=True)
+    if _wanted("as_json"):
         click.echo(json.dumps(values, indent=1))
         return
     from rich.console import Console
     from rich.table import Table
 
     console = Console(width=None if click.get_text_stream("stdout").isatty() else 110)
-    for title, heads, rows in tables(values):
-        table = Table(*heads, title=title, title_justify="left")
+    for name, heads, rows in tables(values):
+        table = Table(*heads, title=name, title_justify="left")
         for row in rows:
-            table.add_row(*[_text(cell) for cell in row])
+            table.add_row(*[told(cell) for cell in row])
         console.print(table)
 
 
-def _text(cell: Any) -> str:
-    if isinstance(cell, dict):
-        return f"{cell['mean']:.3f}" + ("" if cell["half"] is None else f" ±{cell['half']:.3f}")
-    return f"{cell:.3f}" if isinstance(cell, float) else "-" if cell is None else str(cell)
-
-
 @click.group()
 def plan() -> None:
     """Work out what breaks first, how many machines a goal needs, and what a lost site does."""
@@ -117,29 +142,24 @@
 
 @plan.command(epilog="Example: ochrehoist plan forecast deploy/fleet.toml --demand 1.05")
 @FLEET
-@click.option("--demand", type=float, help="Load as a share of the capacity, not as described.")
 @click.option("--capture", multiple=True, type=click.Path(path_type=Path), metavar="FILE",
               help="Play what was recorded (files or folders) instead of the described load.")
 @_common
 @_stops
-def forecast(fleet: Path, demand: float | None, capture: tuple[Path, ...], seeds: int, seconds: float,
-             jobs: int, as_json: bool) -> None:
+def forecast(fleet: Path, capture: tuple[Path, ...], seeds: int, seconds: float, jobs: int) -> None:
     """Goodput by class, tenant and worker, with ranges over the seeds."""
     from ochrehoist.capture.reader import read
-    from ochrehoist.plan.demand import Streams, captured
     from ochrehoist.plan.questions import forecast as asked
+    from ochrehoist.plan.questions import forecast_of_capture
 
-    f, wishes = _load(fleet), None
-    if demand is not None:
-        f = f.at(demand)
-    if capture:
-        recorded = read(capture)
-        for line in recorded.warnings():
-            click.echo(f"ochrehoist: {line}", err=True)
-        listed, span = captured(f, recorded, Streams(1))
-        f, wishes, seconds = f.with_load(len(listed) / max(1.0, span)), tuple(listed), max(12.0, span)
-    with Progress(as_json) as progress:
-        values = asked(f, range(1, seeds + 1), seconds, jobs, progress, wishes)
+    f, numbers, notes = _load(fleet), range(1, seeds + 1), []
+    with Progress() as progress:
+        if capture:
+            recorded = read(capture)
+            notes = recorded.warnings()
+            values = forecast_of_capture(f, recorded, numbers, jobs, progress)
+        else:
+            values = asked(f, numbers, seconds, jobs, progress)
 
     def tables(v: dict[str, Any]) -> list[tuple]:
         of_workers = ("address", "kind", "site", "speed", "busy", "tries", "served", "refused")
@@ -152,26 +172,24 @@
                 ("workers, first run", of_workers,
                  [tuple(w[key] for key in of_workers) for w in v["workers"]])]
 
-    _show(values, as_json, tables)
+    _show("forecast", f"What {f.name} would serve", values, tables, notes + _unfinished(values, seeds))
 
 
 @plan.command(epilog="Example: ochrehoist plan fit /var/lib/ochrehoist-load")
 @click.argument("capture", nargs=-1, required=True, type=click.Path(path_type=Path))
-@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@_shown
 @_stops
-def fit(capture: tuple[Path, ...], as_json: bool) -> None:
+def fit(capture: tuple[Path, ...]) -> None:
     """What recorded load tells of speeds, the crowd, reading, popularity and repeats, with intervals."""
     from ochrehoist.capture.reader import read
     from ochrehoist.plan.fit import fitted
 
     recorded = read(capture)
-    for line in recorded.warnings():
-        click.echo(f"ochrehoist: {line}", err=True)
     heads = ("what", "value", "low", "high", "count", "note")
     found = [e.line() for e in fitted(recorded)]
-    _show({"estimates": found}, as_json, lambda v: [
+    _show("fit", "What the recorded load tells", {"estimates": found}, lambda v: [
         (f"{len(recorded.entries)} requests in {recorded.seconds:.0f} s, {recorded.files} files", heads,
-         [tuple(e[key] for key in heads) for e in v["estimates"]])])
+         [tuple(e[key] for key in heads) for e in v["estimates"]])], recorded.warnings())
 
 
 @plan.command(epilog="Example: ochrehoist plan breaks deploy/fleet.toml --to 1.6")
@@ -180,14 +198,14 @@
 @click.option("--steps", default=6, show_default=True, type=click.IntRange(2, 50))
 @_common
 @_stops
-def breaks(fleet: Path, to: float, steps: int, seeds: int, seconds: float, jobs: int, as_json: bool) -> None:
+def breaks(fleet: Path, to: float, steps: int, seeds: int, seconds: float, jobs: int) -> None:
     """Raise the load step by step; which limit binds first, where, and what is next once it is lifted."""
     from ochrehoist.plan.questions import breaks as asked
 
     f = _load(fleet)
     first = min(0.5, to / 2)
     factors = [(first + (to - first) * n / (steps - 1)) / f.demand for n in range(steps)]
-    with Progress(as_json) as progress:
+    with Progress() as progress:
         values = asked(f, factors, range(1, seeds + 1), seconds, jobs, progress)
 
     def tables(v: dict[str, Any]) -> list[tuple]:
@@ -198,7 +216,9 @@
                  [(name, w["limit"], w["worker"], w["kind"], w["factor"] * f.load.rate)
                   for name, w in (("first", v["first"]), ("next", v["next"]))])]
 
-    _show(values, as_json, tables)
+    made = len(values["steps"])
+    _show("breaks", f"What breaks first in {f.name}", values, tables,
+          [f"stopped after {made} of {steps} steps"] if made < steps else [])
 
 
 @plan.command(epilog="Example: ochrehoist plan size deploy/fleet.toml --kind small-node --goal 0.95")
@@ -207,19 +227,21 @@
 @click.option("--goal", default=0.95, show_default=True, help="Share of the worth that is to be served.")
 @_common
 @_stops
-def size(fleet: Path, kind: str, goal: float, seeds: int, seconds: float, jobs: int, as_json: bool) -> None:
+def size(fleet: Path, kind: str, goal: float, seeds: int, seconds: float, jobs: int) -> None:
     """The smallest number of machines for a goal, and with a margin for one that is lost."""
     from ochrehoist.plan.questions import size as asked
 
     f = _load(fleet)
     if kind not in {k.name for k in f.kinds}:
         raise ValueError(f"--kind {kind}: no such kind; there are {sorted(k.name for k in f.kinds)}")
-    with Progress(as_json) as progress:
+    with Progress() as progress:
         values = asked(f, kind, goal, range(1, seeds + 1), seconds, jobs, progress)
-    _show(values, as_json, lambda v: [
+    _show("size", f"How many {kind} {f.name} needs", values, lambda v: [
         (f"{kind} for a goodput of {goal} at {f.load.rate:g} calls/s, beside {v['others']} others",
          ("needed", "with one lost", "goodput"), [(v["needed"], v["with_one_lost"], v["goodput"])]),
-        ("tried", ("machines", "goodput, lower end"), list(v["tried"].items()))])
+        ("tried", ("machines", "goodput, lower end", "without the strongest"),
+         [(n, g, v["tried_one_lost"].get(n)) for n, g in v["tried"].items()]
+         + [(n, None, g) for n, g in v["tried_one_lost"].items() if n not in v["tried"]])])
 
 
 @plan.command(epilog="Example: ochrehoist plan lose deploy/fleet.toml antwerp --back 25")
@@ -230,64 +252,108 @@
 @_common
 @_stops
 def lose(fleet: Path, site: str, at: float, back: float | None, seeds: int, seconds: float,
-         jobs: int, as_json: bool) -> None:
+         jobs: int) -> None:
     """What the loss of a data centre does, and whether the rest recovers."""
     from ochrehoist.plan.questions import lose as asked
 
     f = _load(fleet)
     if not 6 < at < seconds - 5 or (back is not None and not at < back < seconds - 5):
         raise ValueError("--at and --back: after second 6, in this order, five before the end of --seconds")
-    with Progress(as_json) as progress:
+    with Progress() as progress:
         values = asked(f, site, at, back, range(1, seeds + 1), seconds, jobs, progress)
-    _show(values, as_json, lambda v: [
+    _show("lose", f"What losing {site} does to {f.name}", values, lambda v: [
         (f"{site} lost at {at:g} s: {v['workers']} of {v['of']} workers",
          ("before", "while it is gone", "worst second", "recovered after s", "runs that tip over"),
          [(v["before"], v["during"], v["worst_second"], v["recovered_s"],
-           f"{v['tips_over']} of {v['seeds']}")])])
+           f"{v['tips_over']} of {v['seeds']}")])], _unfinished(values, seeds))
 
 
 @plan.command(epilog="Example: ochrehoist plan measure small.toml --demand 1.05 --seconds 25")
 @FLEET
-@click.option("--demand", type=float, help="Load as a share of the capacity, not as described.")
+@DEMAND
 @click.option("--seconds", default=25.0, show_default=True, type=click.FloatRange(12, 600))
 @click.option("--seed", default=1, show_default=True)
 @click.option("--lose", "lost", metavar="SITE", help="A site that is lost at the middle.")
-@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+@click.option("--record", metavar="FOLDER", type=click.Path(path_type=Path),
+              help="The workers record there what they saw, for fit, forecast and compare.")
+@_shown
 @_stops
-def measure(fleet: Path, demand: float | None, seconds: float, seed: int, lost: str | None,
-            as_json: bool) -> None:
+def measure(fleet: Path, seconds: float, seed: int, lost: str | None, record: Path | None) -> None:
     """Start real workers on stand-in machines, play the load in real time, and set it beside the forecast."""
     from ochrehoist.plan.measure import Failed
     from ochrehoist.plan.questions import measured
 
     f = _load(fleet)
-    if demand is not None:
-        f = f.at(demand)
     try:
-        with Progress(as_json) as progress:
-            values = measured(f, seed, seconds, lost, progress)
+        with Progress() as progress:
+            values = measured(f, seed, seconds, lost, progress, record)
     except Failed as error:
-        _end(str(error), NO)
-    _show(values, as_json, lambda v: [
+        end(str(error), NO)
+    notes = [] if values["late_p99_ms"] <= MOST_LATE_MS else [
+        f"this machine was too busy: calls began {values['late_p99_ms']:.0f} ms late (p99); measure again"]
+    _show("measure", f"Real workers beside the forecast, {f.demand:.0%} of the capacity", values, lambda v: [
         (f"{len(f.placed_workers)} workers, {f.demand:.0%} of the capacity", ("", "measured", "forecast"),
          [("goodput", v["measured"]["goodput"], v["forecast"]["goodput"]),
           ("tries for each call", v["measured"]["tries_per_call"], v["forecast"]["tries_per_call"]),
           *((name, c["goodput"], v["forecast"]["classes"][name]["goodput"])
-            for name, c in v["measured"]["classes"].items())])])
+            for name, c in v["measured"]["classes"].items())])], notes)
 
 
-@plan.command(epilog="Example: ochrehoist plan compare today.toml tomorrow.toml --seeds 6")
+@plan.command(epilog="Examples: ochrehoist plan compare today.toml tomorrow.toml --seeds 6; "
+                     "ochrehoist plan compare load/monday load/tuesday --on deploy/fleet.toml")
 @click.argument("a", type=click.Path(path_type=Path))
 @click.argument("b", type=click.Path(path_type=Path))
+@click.option("--on", type=click.Path(path_type=Path), metavar="FLEET",
+              help="Two captures: also what this fleet would make of each.")
 @_common
 @_stops
-def compare(a: Path, b: Path, seeds: int, seconds: float, jobs: int, as_json: bool) -> None:
-    """Two fleets side by side on the same seeds, and the interval of their difference."""
+def compare(a: Path, b: Path, on: Path | None, seeds: int, seconds: float, jobs: int) -> None:
+    """Two fleets, or two captures (files or folders), side by side, with the interval of their difference."""
+    from ochrehoist.capture.records import SUFFIX
     from ochrehoist.plan.questions import compare as asked
 
+    recorded = [p.is_dir() or p.suffix == SUFFIX for p in (a, b)]
+    if all(recorded):
+        return _compare_captures(a, b, on, seeds, jobs)
+    if any(recorded) or on is not None:
+        raise ValueError("compare two fleets, or two captures; --on goes with captures")
     first, second = _load(a), _load(b)
-    with Progress(as_json) as progress:
+    with Progress() as progress:
         values = asked(first, second, range(1, seeds + 1), seconds, jobs, progress)
-    _show(values, as_json, lambda v: [
+    _show("compare", f"{a} and {b}", values, lambda v: [
         ("goodput", (str(a), str(b), "difference", "clear"),
-         [(v["a"], v["b"], v["difference"], "yes" if v["clear"] else "no: within the swing of the draws")])])
+         [(v["a"], v["b"], v["difference"], "yes" if v["clear"] else "no: within the swing of the draws")])],
+        _unfinished(values, seeds))
+
+
+def _compare_captures(a: Path, b: Path, on: Path | None, seeds: int, jobs: int) -> None:
+    from ochrehoist.capture.reader import read
+    from ochrehoist.plan.captures import side_by_side
+    from ochrehoist.plan.questions import forecast_of_capture
+
+    both = [read([p]) for p in (a, b)]
+    values: dict[str, Any] = {"figures": [c.line() for c in side_by_side(*both)], "on": []}
+    if on is not None:
+        fleet = _load(on)
+        with Progress() as progress:
+            values["on"] = [forecast_of_capture(fleet, c, range(1, seeds + 1), jobs, progress) for c in both]
+    notes = [f"{p}: {line}" for p, c in zip((a, b), both, strict=True) for line in c.warnings()]
+    heads = ("what", "a", "b", "change", "low", "high", "note")
+
+    def tables(v: dict[str, Any]) -> list[tuple]:
+        clear = [line for line in v["figures"] if line["clear"]]
+        out = [(f"what changed and is not chance: {len(clear)} of {len(v['figures'])}", heads,
+                [tuple(line[key] for key in heads) for line in clear]),
+               ("the rest", heads, [tuple(line[key] for key in heads) for line in v["figures"]
+                                    if not line["clear"]])]
+        if v["on"]:
+            out.append((f"on {on}", ("", "goodput", "calls/s", "refused"),
+                        [(str(p), f["goodput"], f["rate"], f["shares"]["refused"])
+                         for p, f in zip((a, b), v["on"], strict=True)]))
+        return out
+
+    _show("captures", f"{a} and {b}", values, tables, notes)
+
+
+def _unfinished(values: dict[str, Any], asked: int) -> list[str]:
+    return [] if values["seeds"] == asked else [f"stopped after {values['seeds']} of {asked} runs"]
--- a/ochrehoist/cli/state.py
+++ b/ochrehoist/cli/state.py
@@ -3,44 +3,35 @@
 import json
 import sys
 import time
-from collections.abc import Callable
-from functools import wraps
 from pathlib import Path
-from typing import Any
 
 import click
 
 from ochrehoist import config as configuration
+from ochrehoist.cli.common import DAMAGED, NO, end, stops
 from ochrehoist.settings import BadInput
 
-NO, DAMAGED = 1, 3
 FOLDER = click.option("--folder", metavar="DIR", type=click.Path(path_type=Path),
                       help="The folder; else [state] folder of the configuration.")
 
 
-def _stops(call: Callable[..., Any]) -> Callable[..., Any]:
+@stops
+def _stops(error: Exception) -> None:
     """What can't be done is told in one line, with what to do."""
-    @wraps(call)
-    def guarded(*args: Any, **more: Any) -> Any:
-        from ochrehoist.store.disk import Failed, Held
-        from ochrehoist.store.tool import NoStore
-        from ochrehoist.store.transfer import Unusable
+    from ochrehoist.store.disk import Failed, Held
+    from ochrehoist.store.tool import NoStore
+    from ochrehoist.store.transfer import Unusable
 
-        try:
-            return call(*args, **more)
-        except Held as held:
-            _no(f"in use by {held}; stop that worker first")
-        except (NoStore, Unusable) as error:
-            _no(str(error))
-        except (Failed, OSError) as error:
-            _no(f"{error}; nothing was changed")
-
-    return guarded
+    if isinstance(error, Held):
+        _no(f"in use by {error}; stop that worker first")
+    if isinstance(error, (NoStore, Unusable)):
+        _no(str(error))
+    if isinstance(error, (Failed, OSError)):
+        _no(f"{error}; nothing was changed")
 
 
 def _no(text: str) -> None:
-    click.echo(f"ochrehoist: {text}", err=True)
-    raise click.exceptions.Exit(NO)
+    end(text, NO)
 
 
 def _folder(ctx: click.Context, folder: Path | None) -> tuple[Path, int]:
--- a/ochrehoist/plan/demand.py
+++ b/ochrehoist/plan/demand.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 
 import numpy as np
+import xxhash
 
-from ochrehoist.capture.reader import Capture
+from ochrehoist.capture.reader import Capture, Entry
 from ochrehoist.plan.fleet import Fleet
 
 STREAMS = ("arrivals", "classes", "tenants", "subjects", "work", "hints", "routers", "heavy", "hot", "speeds",
@@ -105,15 +106,33 @@
     return out
 
 
+def _firsts(fleet: Fleet, capture: Capture, classes: dict[str, int]) -> list[Entry]:
+    """The first that was seen of each call. Tries of one state the same work, which hardly two calls do."""
+    seen: dict[tuple, int] = {}
+    out = []
+    for e in capture.entries:
+        s = e.seen
+        call = s.cls, s.tenant, s.work, s.caller, s.address if not s.caller else ""
+        lasts = fleet.classes[classes[s.cls]].deadline_ms * 1e6 if s.cls in classes else 0
+        # Nothing tells tries apart where no work is stated: then the marks alone count.
+        known = not s.work or e.at - seen.get(call, -10**18) <= lasts
+        if not s.retry or not known:
+            out.append(e)
+        if not s.retry or not known or call not in seen:
+            seen[call] = e.at
+    return out
+
+
 def captured(fleet: Fleet, capture: Capture, streams: Streams) -> tuple[list[Wish], float]:
     """The first tries of a capture as calls, from its first on, and the seconds that they span.
 
-    Stated work stands for the work, where it was told; a request of a class or tenant that the fleet does not
-    have raises ValueError. A sampled capture is made whole by repeating what is there, moved by up to 1 s.
+    Stated work stands for the work, where it was told; a request of a class or tenant that the fleet does
+    not have raises ValueError. A sampled capture is made whole by repeating what is there, moved by up to
+    1 s. A marked repeat whose first try no worker has seen (its router knew of none to send it to) is a call.
     """
     classes = {c.name: at for at, c in enumerate(fleet.classes)}
     tenants = {t.name: at for at, t in enumerate(fleet.tenants)}
-    entries = [e for e in capture.entries if not e.seen.retry]
+    entries = _firsts(fleet, capture, classes)
     if not entries:
         raise ValueError("no first tries are on record")
     begin, routers, out = entries[0].at, len(fleet.placed_routers), []
@@ -129,7 +148,7 @@
             at = (e.at - begin) / 1e9 + (streams["arrivals"].uniform() if n else 0.0)
             subject = e.subject + n if e.subject else 0
             out.append(Wish(at, cls, tenants.get(e.seen.tenant, -1), subject, stated, stated,
-                            (e.seen.caller or hash(e.seen.address)) % routers,
+                            (e.seen.caller or xxhash.xxh32_intdigest(e.seen.address.encode())) % routers,
                             float(streams["sizes"].uniform(*fleet.intake.held_kb))))
     out.sort(key=lambda w: w.at)
     return out, out[-1].at
--- a/ochrehoist/plan/fit.py
+++ b/ochrehoist/plan/fit.py
@@ -67,7 +67,7 @@
         out.append(estimated(f"{name}: spread of it (cv)", work, lambda v: float(v.std() / v.mean()), rng))
     cores = {h.name: h.cores for h in capture.heads}
     for name, entries in sorted(by_worker.items()):
-        out += _machine(name, entries, cores[name], rng)
+        out += _machine(name, entries, cores[name], rng, capture.sample < 1)
     out += [_popularity(capture), _repeats(capture, rng)]
     return out
 
@@ -87,20 +87,50 @@
     return [e for e in entries if e.seen.outcome == Outcome.SERVED and e.seen.ran > 0 and e.seen.work]
 
 
-def _machine(name: str, entries: list[Entry], cores: int, rng: np.random.Generator) -> list[Estimate]:
-    """Speed, crowd and reading of one worker. A run's neighbours are those that ran as it came."""
+def _beside(entries: list[Entry], cores: int) -> dict[int, tuple[float, float]]:
+    """For each run, by its place in the list: the mean share of a core that it had, and the crowd a core."""
+    spans = [(n, e.at + e.seen.unread + e.seen.waited, e.seen.ran) for n, e in enumerate(entries)
+             if e.seen.waited >= 0 and e.seen.ran > 0]
+    if not spans:
+        return {}
+    begins = np.array([b for _, b, _ in spans], dtype=float)
+    ends = begins + np.array([r for _, _, r in spans], dtype=float)
+    moments = np.concatenate([begins, ends])
+    change = np.concatenate([np.ones(len(spans)), -np.ones(len(spans))])
+    order = np.argsort(moments, kind="stable")
+    moments, running = moments[order], np.cumsum(change[order])
+    widths = np.diff(moments)
+    share = np.concatenate([[0.0], np.cumsum(widths * np.minimum(1.0, cores / np.maximum(1, running[:-1])))])
+    crowd = np.concatenate([[0.0], np.cumsum(widths * running[:-1] / cores)])
+    lasted = np.maximum(1.0, ends - begins)
+    had, beside = ((np.interp(ends, moments, area) - np.interp(begins, moments, area)) / lasted
+                   for area in (share, crowd))
+    return {n: (float(had[k]), float(beside[k])) for k, (n, _, _) in enumerate(spans)}
+
+
+def _machine(name: str, entries: list[Entry], cores: int, rng: np.random.Generator,
+             sampled: bool) -> list[Estimate]:
+    """Speed, crowd and reading of one worker. What ran beside a run is told by all others' times; of a
+    sampled capture only by how many ran as it came."""
+    beside = {} if sampled else _beside(entries, cores)
+    own = {id(e): beside.get(n) for n, e in enumerate(entries)}
     ran = _ran(entries)
-    alone = np.array([e.seen.work / e.seen.ran for e in ran if e.seen.running < cores])
-    note = "" if len(alone) >= FEWEST else "too few runs began while a core was free"
+
+    def neighbours(e: Entry) -> tuple[float, float]:
+        n = (e.seen.running + 1) / cores
+        return own[id(e)] or (min(1.0, 1 / n), n)
+
+    alone = np.array([e.seen.work / e.seen.ran / neighbours(e)[0] for e in ran if neighbours(e)[1] <= 1.0])
+    note = "as runs have it, less what reading takes" if len(alone) >= FEWEST \
+        else "too few runs had a core of their own"
     speed = estimated(f"{name}: speed of a core", alone, median, rng, note)
     out = [speed]
     if speed.value is None:
         return out + [Estimate(f"{name}: {SLOWS}", None, note="no speed is known")]
     by_crowd: dict[float, list[float]] = defaultdict(list)
     for e in ran:
-        n = e.seen.running + 1
-        share = min(1.0, cores / n) * speed.value
-        by_crowd[math.floor(2 * n / cores) / 2].append(e.seen.work / e.seen.ran / share)
+        share, n = neighbours(e)
+        by_crowd[math.floor(2 * n) / 2].append(e.seen.work / e.seen.ran / (share * speed.value))
     slow, most = None, 0.0
     for crowd, parts in sorted(by_crowd.items()):
         if len(parts) < FEWEST or crowd < 1:
--- a/ochrehoist/plan/measure.py
+++ b/ochrehoist/plan/measure.py
@@ -14,6 +14,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -30,6 +31,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 MOST_OPEN = 32  # requests on one connection, as the protocol has it
+LEAVE_S = 5.0  # s that a worker has to end by itself
 START_S = 20.0  # s that a worker has to come up
 WARM_MS = 600_000  # age of a machine that is warm
 
@@ -74,6 +76,10 @@
         path = Path(self.play.folder, f"n{self.number}.json")
         path.write_text(json.dumps(config))
         env = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "OCHREHOIST_", "TMPDIR"))}
+        if self.play.operators:
+            file = Path(self.play.folder, f"n{self.number}.toml")
+            file.write_text(self.play.operators.format(worker=f"n{self.number}"))
+            env["OCHREHOIST_AJP"] = str(file)
         with open(Path(self.play.folder, f"n{self.number}.log"), "ab") as log:
             self.process = subprocess.Popen([sys.executable, "-m", "ochrehoist"], stderr=log,
                                             env=env | {"EDGE_CONFIG": str(path)}, cwd=ROOT)
@@ -83,10 +89,14 @@
             raise Failed(f"worker n{self.number} did not come up: see {log.name}") from None
         self.up = True
 
-    def lose(self) -> None:
-        """Killed outright, with its machine."""
+    def lose(self, outright: bool = True) -> None:
+        """Killed outright, with its machine; or told to leave, where what it writes is wanted whole."""
         self.up = False
         if self.process is not None:
+            if not outright:
+                self.process.terminate()
+                with suppress(subprocess.TimeoutExpired):
+                    self.process.wait(LEAVE_S)
             self.process.kill()
             self.process.wait()
         if self.timer is not None:
@@ -252,7 +262,10 @@
     """One measured run: the same calls, speeds and habits as the model's of the same seed."""
 
     def __init__(self, fleet: Fleet, seed: int, seconds: float, settle: float = 5.0,
-                 troubles: Iterable[Trouble] = (), wishes: Iterable[Wish] | None = None) -> None:
+                 troubles: Iterable[Trouble] = (), wishes: Iterable[Wish] | None = None,
+                 operators: str | None = None) -> None:
+        """`operators`: the text of a further file for each worker (TOML; `{worker}` is its name)."""
+        self.operators = operators
         self.fleet, self.seed, self.seconds = fleet, seed, seconds
         self.tally, self.troubles = Tally(fleet, settle, seconds), tuple(troubles)
         streams, placed, routers = Streams(seed), fleet.placed_workers, fleet.placed_routers
@@ -300,8 +313,12 @@
                     s.count.busy = s.cores.busy_s / (self.now() * s.machine.cores)
             await asyncio.gather(*calls)
         finally:
+            if self.operators is not None:  # all at once: each has its own time to leave
+                for s in self.stands:
+                    if s.process is not None:
+                        s.process.terminate()
             for s in self.stands:
-                s.lose()
+                s.lose(outright=self.operators is None)
         self.tally.workers = [s.count for s in self.stands]
         return self.tally
 
--- a/ochrehoist/plan/questions.py
+++ b/ochrehoist/plan/questions.py
@@ -1,13 +1,16 @@
 """What the planner is asked: forecasts over seeds, what breaks first, how many machines, what a loss does."""
 
+import json
 import math
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
+from pathlib import Path
 from statistics import mean, stdev
 from typing import Any
 
+from ochrehoist.capture.reader import Capture
 from ochrehoist.plan import analytic
-from ochrehoist.plan.demand import Streams, Wish, speeds
+from ochrehoist.plan.demand import Streams, Wish, captured, speeds
 from ochrehoist.plan.events import Simulation, Trouble
 from ochrehoist.plan.fleet import Fleet, Workers
 
@@ -78,16 +81,30 @@
         yield values
 
 
-def forecast(fleet: Fleet, seeds: Sequence[int], seconds: float, jobs: int, progress: Progress,
-             wishes: tuple[Wish, ...] | None = None) -> dict[str, Any]:
-    """Goodput by class, tenant and worker, refusals, latencies; what is known so far if interrupted."""
+def known(runs: Sequence[Run], jobs: int, progress: Progress, whole: int = 1) -> list[dict[str, Any]]:
+    """As `all_made`; interrupted, what is known so far, in groups of `whole` runs that belong together."""
     got: list[dict[str, Any]] = []
     try:
-        for values in all_made([Run(fleet, s, seconds, wishes=wishes) for s in seeds], jobs, progress):
+        for values in all_made(runs, jobs, progress):
             got.append(values)
     except KeyboardInterrupt:
-        if not got:
+        if len(got) < whole:
             raise
+    return got[:len(got) // whole * whole]
+
+
+def forecast_of_capture(fleet: Fleet, capture: Capture, seeds: Sequence[int], jobs: int,
+                        progress: Progress) -> dict[str, Any]:
+    """What the fleet would make of a recorded load; the seeds draw its speeds and habits."""
+    listed, span = captured(fleet, capture, Streams(1))
+    return forecast(fleet.with_load(len(listed) / max(1.0, span)), seeds, max(12.0, span), jobs, progress,
+                    tuple(listed))
+
+
+def forecast(fleet: Fleet, seeds: Sequence[int], seconds: float, jobs: int, progress: Progress,
+             wishes: tuple[Wish, ...] | None = None) -> dict[str, Any]:
+    """Goodput by class, tenant and worker, refusals, latencies; what is known so far if interrupted."""
+    got = known([Run(fleet, s, seconds, wishes=wishes) for s in seeds], jobs, progress)
     return summed(fleet, got) | {"seeds": len(got), "asked_seeds": len(seeds), "seconds": seconds}
 
 
@@ -116,8 +133,8 @@
     kind's limit is lifted."""
     steps = []
     runs = [Run(fleet.with_load(fleet.load.rate * f), s, seconds) for f in factors for s in seeds]
-    got = list(all_made(runs, jobs, progress))
-    for n, factor in enumerate(factors):
+    got = known(runs, jobs, progress, len(seeds))
+    for n, factor in enumerate(factors[:len(got) // len(seeds)]):
         mine = got[n * len(seeds):(n + 1) * len(seeds)]
         steps.append({"factor": factor, "rate": fleet.load.rate * factor,
                       "goodput": ranged([v["goodput"] for v in mine]).values(),
@@ -171,20 +188,35 @@
 def size(fleet: Fleet, kind: str, goal: float, seeds: Sequence[int], seconds: float, jobs: int,
          progress: Progress) -> dict[str, Any]:
     """The smallest number of one kind, beside the others as they are, whose goodput is `goal` by the lower
-    end of its interval; and the number that also bears the loss of one machine."""
+    end of its interval; and the number that is enough without any one machine."""
     if not 0 < goal < 1:
         raise Unanswerable(f"a goal of {goal} is not between 0 and 1")
-    asked: dict[int, float] = {}
+    asked: dict[tuple[int, bool], float] = {}
 
-    def good(count: int) -> bool:
-        if count not in asked:
+    def good(count: int, lost: bool = False) -> bool:
+        if (count, lost) not in asked:
             changed = with_workers(fleet, kind, count)
+            if lost:
+                if len(changed.placed_workers) < 2:
+                    return False
+                changed = without_strongest(changed)
             got = list(all_made([Run(changed, s, seconds) for s in seeds], jobs, lambda *_: None))
             r = ranged([v["goodput"] for v in got])
-            asked[count] = r.mean - (r.half or 0.0)
+            asked[count, lost] = r.mean - (r.half or 0.0)
             progress(len(asked), 0)
-        return asked[count] >= goal
+        return asked[count, lost] >= goal
 
+    try:
+        return _searched(fleet, kind, goal, good, asked)
+    except KeyboardInterrupt:
+        if not asked:
+            raise
+        best = max(asked, key=asked.get)
+        raise Unanswerable(f"stopped; so far {best[0]} of {kind} give {asked[best]:.3f}") from None
+
+
+def _searched(fleet: Fleet, kind: str, goal: float, good: Callable[..., bool],
+              asked: dict[tuple[int, bool], float]) -> dict[str, Any]:
     others = sum(w.kind != kind for w in fleet.placed_workers)
     low, high = (0 if others else 1), max(1, sum(w.kind == kind for w in fleet.placed_workers))
     while not good(high):
@@ -198,8 +230,25 @@
             high = middle
         else:
             low = middle + 1
-    return {"kind": kind, "goal": goal, "needed": high, "with_one_lost": high + 1, "others": others,
-            "goodput": asked[high], "tried": {str(n): round(v, 4) for n, v in sorted(asked.items())}}
+    needed = high
+    while not good(high, lost=True):
+        high += 1
+        if high > 2 * needed + 8:
+            raise Unanswerable(f"{needed} of {kind} reach the goal, but none up to {high - 1} bear a loss")
+    return {"kind": kind, "goal": goal, "needed": needed, "with_one_lost": high, "others": others,
+            "goodput": asked[needed, False],
+            "tried": {str(n): round(v, 4) for (n, lost), v in sorted(asked.items()) if not lost},
+            "tried_one_lost": {str(n): round(v, 4) for (n, lost), v in sorted(asked.items()) if lost}}
+
+
+def without_strongest(fleet: Fleet) -> Fleet:
+    """The fleet without one machine of the kind whose loss costs most."""
+    def strength(kind: str) -> float:
+        k = fleet.kind(kind)
+        return k.cores * sum(k.speeds)
+
+    strongest = max((w.kind for w in fleet.placed_workers), key=strength)
+    return with_workers(fleet, strongest, sum(w.kind == strongest for w in fleet.placed_workers) - 1)
 
 
 def lose(fleet: Fleet, site: str, at: float, back: float | None, seeds: Sequence[int], seconds: float,
@@ -210,14 +259,16 @@
         raise Unanswerable(f"no worker lies in {site!r}; there are {[s.name for s in fleet.sites]}")
     if len(which) == len(fleet.placed_workers):
         raise Unanswerable(f"all workers lie in {site!r}: nothing is left to forecast")
+    during = back if back is not None else seconds
+    if math.ceil(at) >= during:
+        raise Unanswerable(f"it is gone from second {at:g} to {during:g}: no whole second, too short to tell")
     trouble = Trouble(at, which, back, site)
     runs = [Run(fleet, s, seconds, troubles=(trouble,), recovery_from=at) for s in seeds]
-    got = list(all_made(runs, jobs, progress))
+    got = known(runs, jobs, progress)
 
     def part(values: dict[str, Any], first: float, last: float) -> float:
         return mean(v for s, v in values["seconds"] if first <= s < last)
 
-    during = back if back is not None else seconds
     times = [v["recovered_s"] for v in got]
     return {"site": site, "workers": len(which), "of": len(fleet.placed_workers), "at": at, "back": back,
             "before": ranged([v["before"] for v in got]).values(),
@@ -228,8 +279,10 @@
             "seconds_line": got[0]["seconds"], "events": got[0]["events"]}
 
 
-def measured(fleet: Fleet, seed: int, seconds: float, lost: str | None, progress: Progress) -> dict[str, Any]:
-    """One run in real time with real workers, and the forecast of the same draw. Raises measure.Failed."""
+def measured(fleet: Fleet, seed: int, seconds: float, lost: str | None, progress: Progress,
+             record: Path | None = None) -> dict[str, Any]:
+    """One run in real time with real workers, and the forecast of the same draw; `record` is a folder for
+    what the workers saw. Raises measure.Failed."""
     from ochrehoist.plan.measure import Play
 
     troubles: tuple[Trouble, ...] = ()
@@ -239,7 +292,8 @@
             raise Unanswerable(f"{lost!r} holds {len(which)} of {len(fleet.placed_workers)} workers")
         troubles = (Trouble(seconds / 2, which, None, lost),)
     forecast_of = Simulation(fleet, seed, seconds, troubles=troubles).run()
-    play = Play(fleet, seed, seconds, troubles=troubles)
+    capture = None if record is None else f"[capture]\nfolder = {json.dumps(str(record.absolute()))}\n"
+    play = Play(fleet, seed, seconds, troubles=troubles, operators=capture)
     real = play.run(lambda share: progress(int(share * 100), 100))
     return {"measured": real.values(), "forecast": forecast_of.values(),
             "ratio": forecast_of.goodput / max(1e-9, real.goodput),
@@ -249,9 +303,9 @@
 def compare(a: Fleet, b: Fleet, seeds: Sequence[int], seconds: float, jobs: int,
             progress: Progress) -> dict[str, Any]:
     """Two fleets on the same seeds: each one's goodput, and the interval of the difference, pair by pair."""
-    got = list(all_made([Run(f, s, seconds) for s in seeds for f in (a, b)], jobs, progress))
-    pairs = [(got[2 * n]["goodput"], got[2 * n + 1]["goodput"]) for n in range(len(seeds))]
+    got = known([Run(f, s, seconds) for s in seeds for f in (a, b)], jobs, progress, 2)
+    pairs = [(got[n]["goodput"], got[n + 1]["goodput"]) for n in range(0, len(got), 2)]
     difference = ranged([second - first for first, second in pairs])
     clear = difference.half is not None and abs(difference.mean) > difference.half
     return {"a": ranged([p[0] for p in pairs]).values(), "b": ranged([p[1] for p in pairs]).values(),
-            "difference": difference.values(), "clear": clear, "seeds": len(seeds)}
+            "difference": difference.values(), "clear": clear, "seeds": len(pairs), "pairs": pairs}
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -238,6 +238,7 @@
     def test_what_cannot_be_told_gets_no_number(self):
         f = fleet()
         for ask in (lambda: size(f, "fast-node", 1.2, (1,), 12.0, 1, quiet),
+                    lambda: lose(f, "brussels", 6.5, 7.0, (1,), 14.0, 1, quiet),
                     lambda: lose(f, "ghent", 6.0, None, (1,), 14.0, 1, quiet),
                     lambda: lose(with_workers(fleet(workers__0__addresses=["10.1.0.1"]), "fast-node", 1),
                                  "brussels", 6.0, None, (1,), 14.0, 1, quiet)):
@@ -257,7 +258,8 @@
 
     def test_a_sampled_capture_is_made_whole_and_a_foreign_class_is_named(self):
         f, head = fleet(), Head("n1", 0, 0.5, 4, 1.0, (), ())
-        seen = [Seen(0, "company-read", "startdesk", "ajp", 7, 10**8, n, "", n % 4 == 3, 0, 0, 0, 0, 0, 0)
+        seen = [Seen(0, "company-read", "startdesk", "ajp", 7, 10**8, n - (n % 4 == 3), "", n % 4 == 3, 0, 0,
+                     0, 0, 0, 0)
                 for n in range(400)]
         entries = [Entry("n1", n * 10**7, s, s.subject) for n, s in enumerate(seen)]
         wishes, span = captured(f, Capture([head], entries), Streams(1))
@@ -282,17 +284,25 @@
 
 class Fit(unittest.TestCase):
     def entries(self, speed=0.7, cores=4, slow_from=2.0, count=3000, crowd=24):
-        """Runs as a machine of that speed would have them, beside so many others as the model has it."""
+        """Runs as a machine of that speed has them, whose crowd is another every two seconds."""
         rng, machine = Streams(5)["work"], Machine(cores, speed, slow_from=slow_from, slow_to=0.4, crowd=8.0)
-        out = []
-        for n in range(count):
-            running, work = int(rng.integers(0, crowd)), float(rng.lognormal(-1.2, 0.6))
-            rate = machine.speed * machine.efficiency(running + 1) * min(1.0, cores / (running + 1))
-            subject, stated = int(rng.zipf(1.9)), int(work * 1e9 * rng.lognormal(0, 0.1))
-            seen = Seen(n * 10**7, "read", None, "ajp", subject, stated, 1, "", n % 10 == 0, 0, 15_000_000, 0,
-                        int(work / rate * 1e9), running, 0)
-            out.append(Entry("n1", n * 10**7, seen, subject))
-        return Capture([Head("n1", 0, 1.0, cores, 1.0, (), ())], out)
+        there, now, begun, out, wanted = Cores(machine, 0.0), 0.0, {}, [], 1
+        while len(out) < count:
+            while len(begun) < wanted:
+                number, work = len(begun) + len(out), float(rng.lognormal(-1.2, 0.6))
+                begun[number] = (now, work, len(begun))
+                there.start(number, work)
+            at = there.next_end()
+            if int(at / 2) != int(now / 2):
+                wanted = int(rng.integers(1, crowd))
+            now = at
+            for number in there.advance(now):
+                began, work, running = begun.pop(number)
+                subject, stated = int(rng.zipf(1.9)), int(work * 1e9 * rng.lognormal(0, 0.1))
+                seen = Seen(int(began * 1e9), "read", None, "ajp", subject, stated, 1, "", len(out) % 10 == 0,
+                            0, 15_000_000, 0, int((now - began) * 1e9), running, 0)
+                out.append(Entry("n1", int(began * 1e9), seen, subject))
+        return Capture([Head("n1", 0, 1.0, cores, 1.0, (), ())], sorted(out, key=lambda e: e.at))
 
     def told(self, capture):
         return {e.what: e for e in fitted(capture)}
@@ -304,8 +314,10 @@
         self.assertAlmostEqual(found["n1: running a core, past which work slows"].value, 2.5, delta=0.6)
         repeats = found["marked repeats, of all requests"]
         self.assertTrue(repeats.low <= 0.1 <= repeats.high)
+        capture = self.entries()
+        firsts = sum(not e.seen.retry for e in capture.entries)
         rate = found["first tries a second"]
-        self.assertAlmostEqual(rate.value, 90.0, delta=4)
+        self.assertTrue(rate.low <= firsts / capture.seconds <= rate.high, rate)
 
     def test_what_a_capture_cannot_tell_gets_no_number(self):
         found = self.told(self.entries(crowd=4))  # never more than the cores
--- a/tests/test_thrift_front.py
+++ b/tests/test_thrift_front.py
@@ -303,7 +303,7 @@
         ends = select.poll()
         for connection in slow:
             ends.register(connection.sock, select.POLLRDHUP)
-        closed += bool(ends.poll(3000))
+        closed += bool(ends.poll(PATIENCE * 1000))
         self.assertTrue(closed)
         self.assertEqual(quick.ping()[0], "Answer")
 
