Limit and shed by what a worker measures of itself, off where [overload] is absent

A worker that is behind in reading answered everything late, and a class could be crowded out. limits/ holds the decisions without I/O: a watch (loop delay, share of the processor, costs), a door that turns away cheaply by worth and fairly among tenants and callers, pools with floors, ways to find a running limit, a lane for costly outliers, budgets of repeats.

Found by its test: an AJP client whose answer was out and whose next request lay whole in the buffer was cut off by a loop that ran late (ajp_front._forward looked at the buffer without asking whether it had answered).

--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -19,6 +19,8 @@
 APPLIANCE_FILE = "deploy/ajp.toml"  # where nothing else is named
 MAX_LINK = 90  # bytes of a path; a socket's may have 107, and a few are added to it
 ON_LOSS = ("hold", "serve")  # refuse filings until no window of before can be open, or take the risk
+# By which the running limit is found; `module`: by the decision module alone.
+CONTROLLERS = ("module", "seek", "steps", "gradient", "vegas", "aimd", "fixed")
 MIN_PACKET, MAX_PACKET = 8192, 65536  # of AJP/1.3
 
 
@@ -86,6 +88,19 @@
     file_s: float  # or so long
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class OverloadConfig:
+    """What a worker does with what it measures of itself; each part can be switched off by itself."""
+
+    door: bool = True  # turns away at the door what it is too far behind to decide on
+    pools: bool = True  # limits what runs, by what completes, and keeps floors for classes
+    controller: str = "module"  # how the limit is found; one of CONTROLLERS
+    least: int | None = None  # running at once; by default the cores
+    most: int | None = None  # by default what the cores are said to survive
+    lane: bool = True  # keeps what costs many times the usual to a narrow lane
+    retries: bool = False  # keeps callers to a budget of repeats while requests are turned away
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class Config:
     name: str
@@ -103,6 +118,7 @@
     agent: Address | None = None
     state: StateConfig | None = None
     capture: CaptureConfig | None = None
+    overload: OverloadConfig | None = None
     passed: int | None = None  # a descriptor that listens at `listen`, kept by the platform
     link: str | None = None  # where the process that replaces this one finds it
     keys: frozenset[str] = frozenset()  # of the platform's file: one that is read again must have them all
@@ -222,7 +238,7 @@
     except (OSError, ValueError) as error:
         raise BadInput(f"setting {key}: {path}: {error}") from None
     top = _only(Reader(data, ""), "name", "stop_ms", "limits", "admin", "ajp", "console", "state",
-                "capture", "settings")
+                "capture", "overload", "settings")
     _only(top.part("limits", {}), "memory_mb", "sockets")
     return top
 
@@ -254,10 +270,29 @@
         file_mb=r.number("file_mb", 16, least=0.01), file_s=r.number("file_s", 3600, least=1))
 
 
-def _second_front(top: Reader, settings: Settings) -> dict[str, Any]:
+def _overload(top: Reader, settings: Settings) -> OverloadConfig | None:
+    if "overload" not in top.data:
+        return None
+    r = _only(top.part("overload"), "door", "pools", "controller", "least_running", "most_running", "lane",
+              "retries")
+    survives = int(settings.cores * settings.tip_multiple)
+    least, most = (r.whole(key, 0) or None for key in ("least_running", "most_running"))
+    if most is not None and most > survives:
+        raise BadInput(f"setting {r.path}most_running: over the {survives} that the cores survive: {most}")
+    if (least or 1) > (most or survives):
+        raise BadInput(f"setting {r.path}least_running: over the most that may run: {least}")
+    return OverloadConfig(
+        door=r.flag("door", True), pools=r.flag("pools", True), least=least, most=most,
+        controller=r.choice("controller", {name: name for name in CONTROLLERS}, CONTROLLERS[0]),
+        lane=r.flag("lane", True), retries=r.flag("retries", False))
+
+
+def _operators(top: Reader, settings: Settings) -> dict[str, Any]:
+    """What operators of other installations switch on, each by its table."""
     console = _only(top.part("console", {}), "agent_check")
-    return {"ajp": _ajp(top.part("ajp"), settings), "agent": _address(console, "agent_check", True),
-            "state": _state(top), "capture": _capture(top)}
+    return {"ajp": _ajp(top.part("ajp"), settings) if "ajp" in top.data else None,
+            "agent": _address(console, "agent_check", True),
+            "state": _state(top), "capture": _capture(top), "overload": _overload(top, settings)}
 
 
 def _common(top: Reader, seed: int) -> dict[str, Any]:
@@ -308,11 +343,12 @@
 def load_appliance(path: str, environment: Mapping[str, str]) -> Config:
     """An appliance of its own: AJP in front, AJP servers behind."""
     top = _toml(path, "OCHREHOIST_AJP")
+    top.part("ajp")  # its only front
     if environment.get("EDGE_ADMIN"):
         top.data["admin"] = environment["EDGE_ADMIN"]
     common = _common(top, secrets.randbits(64))
     return Config(**common, admin=_address(top, "admin", True), link=_link(common["name"], environment),
-                  **_second_front(top, common["settings"]))
+                  **_operators(top, common["settings"]))
 
 
 def load_platform(path: str, environment: Mapping[str, str]) -> Config:
@@ -335,7 +371,7 @@
         **common, listen=listen, passed=_passed(environment, listen), link=_link(common["name"], environment),
         keys=_keys(data), kernel=_required(top, "kernel"), members=_address(top, "members"),
         admin=_address(top, "admin"),
-        **(_second_front(_toml(second, "OCHREHOIST_AJP"), common["settings"]) if second else {}))
+        **(_operators(_toml(second, "OCHREHOIST_AJP"), common["settings"]) if second else {}))
 
 
 def load(path: str | None = None, environment: Mapping[str, str] = os.environ) -> Config:
@@ -349,7 +385,7 @@
 
 # ---- a configuration read again while the worker runs
 
-LIVE = frozenset({"kernel", "members", "settings", "gauges"})
+LIVE = frozenset({"kernel", "members", "settings", "gauges", "overload"})
 FIXED_AJP = frozenset({"listen", "packet_size", "max_response", "max_connections"})  # in use by connections
 
 
--- a/ochrehoist/core/answers.py
+++ b/ochrehoist/core/answers.py
@@ -51,11 +51,11 @@
         if self.settle(r):
             self.send(r, REFUSED, lambda: r.responder.refused(backoff, no_retry), backoff)
 
-    def turn_away(self, r: Inbound, reason: Reason | None, backoff: int) -> None:
+    def turn_away(self, r: Inbound, reason: Reason | None, backoff: int, no_retry: bool = False) -> None:
         """One that never became live: refused, or failed for a reason."""
         r.answered = True
         if reason is None:
-            self.send(r, REFUSED, lambda: r.responder.refused(backoff, False), backoff)
+            self.send(r, REFUSED, lambda: r.responder.refused(backoff, no_retry), backoff)
         else:
             self.send(r, FAILED, lambda: r.responder.failed(reason))
 
--- a/ochrehoist/core/figures.py
+++ b/ochrehoist/core/figures.py
@@ -3,7 +3,7 @@
 The text is the exposition format 0.0.4 of Prometheus.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX, LABEL = "app_", "group"
@@ -23,6 +23,15 @@
     return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
 
 
+def counted(values: Mapping[str, Iterable[tuple[str, float]]]) -> str:
+    """Lines of further figures: samples by name, each with its labels; totals are counters."""
+    lines = []
+    for name, samples in values.items():
+        lines.append(f"# TYPE {name} {'counter' if name.endswith('_total') else 'gauge'}")
+        lines.extend(f"{name}{label} {value}" for label, value in samples)
+    return "\n".join(lines) + "\n"
+
+
 class Figures:
     """Counters from 0 at the start of the process. A class that was known stays listed: no counter goes."""
 
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -3,13 +3,13 @@
 Everybody else posts messages to its inbox. It knows no wire and no scheduler: it sleeps on a Waker.
 """
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
 from ochrehoist import interface as i
-from ochrehoist.core import handover
+from ochrehoist.core import handover, succession
 from ochrehoist.core.answers import Answers
 from ochrehoist.core.deadlines import REARM, Deadlines
 from ochrehoist.core.figures import Figures
@@ -25,6 +25,7 @@
     Inbound,
     Joined,
     Leaving,
+    Limiter,
     Linked,
     Listener,
     Message,
@@ -41,6 +42,7 @@
 
 MS = 1_000_000
 SECOND = 1000 * MS
+LOOK = 100 * MS  # between two looks at the limits, where there are any
 LAST_CALL = 150 * MS  # before the process is stopped, whatever is still open is failed
 STAND = 0.01  # s between looks at what falls due while another process decides
 
@@ -66,6 +68,7 @@
         self.result_bytes = result_bytes
         self.keys = KeyTable(slack=max(c.deadline for c in settings.classes) + SECOND, max_bytes=result_bytes)
         self.filings = Filings(self)
+        self.limiter: Limiter | None = None
         self.gauges: dict[str, float] = {}
         self.now = 0
         self.module_good = True  # the module's own verdict
@@ -76,7 +79,7 @@
         self.leave_at: int | None = None
         self.stop_at: int | None = None
         self._index(settings)
-        self.swept = 0
+        self.swept = self.looked = 0
         # Replacing the process: what asks the one before this for its state, once this one is up; whether
         # this core stands still while the next one takes its state; and what it then is reduced to.
         self.predecessor: Callable[[], None] | None = None
@@ -105,6 +108,11 @@
             return False
         return self.module_good and self.linked and (not self.standby or self.inherited_standby)
 
+    @property
+    def decides(self) -> bool:
+        """Whether requests are decided on here and now, not at another process or once the module is up."""
+        return self.controller is not None and not self.frozen and self.leave_at is None
+
     @property
     def owed(self) -> int:
         """Requests that are open here or at a process that this one decides for."""
@@ -180,9 +188,9 @@
         if self.predecessor is not None:  # it may have keys: nothing is decided before they are here
             self.predecessor()
         else:
-            self._boot(self.settings)
+            self.boot(self.settings)
 
-    def _boot(self, settings: i.Settings) -> None:
+    def boot(self, settings: i.Settings) -> None:
         """A fresh module for these settings."""
         m = self.booted
         self.deadlines.forget_alarms()
@@ -199,16 +207,7 @@
     def freeze(self) -> handover.State:
         """Stands still, so that what is handed over is what the other process goes on from."""
         self.frozen = True
-        return self._state()
-
-    def _state(self) -> handover.State:
-        if self.controller is None:
-            return handover.State(keys=self.keys, standby=self.standby)
-        used = {r.cls.name for r in self.live.values()}
-        used |= {token[1] for known in (self.keys.runs, self.keys.entries) for token in known}
-        classes = {c.name: c for c in self.controller.s.classes if c.name in used}
-        return handover.State(handover.learned(self.controller), self.standby, list(self.live.values()),
-                              self.keys, classes)
+        return succession.state_of(self)
 
     def thaw(self) -> None:
         """The other process did not say yes: all goes on from where it stood."""
@@ -230,7 +229,7 @@
         self.figures.know(c.name for c in m.settings.classes)
         if self.controller is None:
             return self._index(m.settings)
-        self._take_up(self._state())
+        succession.take_up(self, succession.state_of(self))
         self.log.info("settings changed", classes=sorted(self.served_classes),
                       gone=sorted(self.kinds.keys() - self.served_classes))
 
@@ -242,42 +241,12 @@
             return
         state: handover.State | None = m.state
         if state is None:
-            return self._boot(self.settings)
+            return self.boot(self.settings)
         self.standby = self.inherited_standby = state.standby
-        self._take_up(state)
+        succession.take_up(self, state)
         self._judge()
 
-    def _take_up(self, state: handover.State) -> None:
-        """A fresh module that knows what was begun, what is held, and what was learned."""
-        state.keys.slack = max(c.deadline for c in (*self.settings.classes, *state.classes.values())) + SECOND
-        self.keys = state.keys
-        self.answers.clear()
-        self._boot(handover.settings_with(self.settings, state))
-        begun = {r.id: r for r in state.requests if r.started}
-        for token, run in self.keys.runs.items():
-            run.waiters = ()  # each is told of anew below
-            if run.id not in begun and not run.asleep and token[1] in self.kinds:
-                self.filings.adopt(token, run)
-        for r in begun.values():
-            self._owe(r)
-            self.tell(i.Adopted(self._event(r), r.answered, False))
-        self._teach(state.learned)
-        held = [r for r in state.requests if not r.started and not r.answered]
-        for r in sorted(held, key=lambda r: r.arrived):
-            self._owe(r)
-            event = self._event(r)
-            event.remaining = max(1, r.due - self.now)  # by its own class, whatever has become of that
-            self.tell(event)
-        self._teach(state.learned)  # what was held is no news of how long requests wait to be read
-
-    def _teach(self, learned: dict | None) -> None:
-        try:
-            if learned is not None:
-                handover.teach(self.controller, learned, self.now)
-        except Exception:  # it learns anew
-            self.log.exception("what was learned can't be taken up")
-
-    def _owe(self, r: Inbound) -> None:
+    def owe(self, r: Inbound) -> None:
         self.answers.take(r)
         if not r.answered:
             r.due = max(self.now, r.arrived + r.cls.deadline)
@@ -285,14 +254,15 @@
                 r.due = min(r.due, self.stop_at - LAST_CALL)
             self.deadlines.answer_by(r.due, r.id)
 
-    def _event(self, r: Inbound) -> i.Request:
+    def event(self, r: Inbound) -> i.Request:
         original = self.keys.original(r.token, r.arrived) if r.token else None
         if original is not None:
             self.filings.wake(r.token)
         return i.Request(
             id=r.id, kind=self.kinds[r.cls.name], tenant=self.tenants.get(r.tenant), key=r.key, work=r.work,
             memory_kb=r.memory_kb, rank=r.rank, retry=r.retry, write=r.write, caller=r.caller,
-            unread_for=max(0, self.now - r.arrived), original=original)
+            unread_for=max(0, self.now - r.arrived), original=original,
+            times=1.0 if self.limiter is None else self.limiter.times(r, self.now))
 
     # ---- messages
     def _arrived(self, m: Arrived) -> None:
@@ -317,8 +287,12 @@
             return self.turn_away(r)  # its class is gone, and no other try of it can have run
         if r.token is not None and self.filings.turned_away(r):
             return
-        self._owe(r)
-        self.tell(self._event(r))
+        if self.limiter is not None and (r.token is None or self.keys.original(r.token, r.arrived) is None):
+            refusal = self.limiter.arrives(r, self.now)
+            if refusal is not None:
+                return self.turn_away(r, backoff=refusal.backoff, no_retry=True)
+        self.owe(r)
+        self.tell(self.event(r))
 
     def _gone(self, m: Gone) -> None:
         r = self.live.get(m.id)
@@ -332,18 +306,20 @@
         if r is None:  # the module let it go before, or never knew that it was over
             self.tell(i.Completed(m.id, m.result.outcome, m.took))
             return
+        took = m.took if self.limiter is None else self.limiter.ended(r, self.now, m.took, m.result.outcome)
         if r.token is not None:
             self.filings.ended(r, m.result)
-        self._finish(r, m.result, m.took)
+        self._finish(r, m.result, took)
 
     def _joined(self, m: Joined) -> None:
         r = self.live.pop(m.id, None)
         if r is not None:
             self._finish(r, m.result, self.now - r.joined_at)
 
-    def turn_away(self, r: Inbound, reason: Reason | None = None, backoff: int = SECOND) -> None:
+    def turn_away(self, r: Inbound, reason: Reason | None = None, backoff: int = SECOND,
+                  no_retry: bool = False) -> None:
         """Answers what the module never hears of: refused, or failed for a reason."""
-        self.answers.turn_away(r, reason, backoff)
+        self.answers.turn_away(r, reason, backoff, no_retry)
 
     def _finish(self, r: Inbound, result: Result, took: int) -> None:
         self.answers.finish(r, result)
@@ -398,6 +374,12 @@
         if self.now - self.swept >= SECOND:
             self.swept = self.now
             self.filings.sweep()
+        if self.limiter is not None and self.now - self.looked >= LOOK and self.controller is not None:
+            self.looked = self.now
+            held = Counter(r.cls.name for r in self.live.values() if not r.started and not r.answered)
+            limits = self.limiter.look(self.now, held)
+            if limits is not None and self.kinds.keys() == self.served_classes:  # positions as it knows them
+                self.tell(limits)
 
     def _ring(self) -> None:
         for token in self.deadlines.rung():
@@ -448,12 +430,15 @@
     def execute(self, r: Inbound) -> None:
         """Hands it to what runs it."""
         r.begun_at = self.now
+        if self.limiter is not None:
+            self.limiter.begun(r, self.now)
         if not self.answers.execute(r):
             self.post(Ended(r.id, Result(i.Outcome.FAILED), 0))
 
     def _refuse(self, a: i.Refuse) -> None:
         if (r := self.live.get(a.id)) is not None:
-            self.answers.refuse(r, a.backoff, a.no_retry)
+            backoff = a.backoff if self.limiter is None else self.limiter.refused(r, a.backoff, self.now)
+            self.answers.refuse(r, backoff, a.no_retry)
 
     def _give_up(self, a: i.Fail) -> None:
         if (r := self.live.get(a.id)) is not None:
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -1,10 +1,11 @@
 """What crosses between the core, the fronts that read requests and the executors that run them."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol
 
-from ochrehoist.interface import Outcome, RequestClass, Settings
+from ochrehoist.interface import Limits, Outcome, RequestClass, Settings
 
 KeyId = tuple[str | None, str, str]  # names of tenant and class, and the caller's token: one filing
 # Digests of what one filing says: of its target, where the wire has one, and of its body.
@@ -93,6 +94,38 @@
     may_have_run: bool = False
 
 
+class Door(Protocol):
+    """Asked by fronts before a request becomes one of the core's, while the core decides here."""
+
+    def admits(self, cls: str, tenant: str | None, caller: int, age: int) -> int | None:
+        """None, or the time to stay away (ns) that one which is turned away is told; `age`: ns since it
+        came."""
+        ...
+
+
+class Limiter(Protocol):
+    """What a worker measures of itself, beside the core: it says what the module is to keep to. Never blocks;
+    `now` is by the core's clock."""
+
+    def arrives(self, request: "Inbound", now: int) -> Refusal | None:
+        """One that never ran: whether it is turned away before the module hears of it."""
+        ...
+
+    def times(self, request: "Inbound", now: int) -> float: ...
+
+    def begun(self, request: "Inbound", now: int) -> None: ...
+
+    def ended(self, request: "Inbound", now: int, took: int, outcome: Outcome) -> int:
+        """The time that the module is to hear."""
+        ...
+
+    def refused(self, request: "Inbound", backoff: int, now: int) -> int:
+        """The time to stay away that its caller is to hear."""
+        ...
+
+    def look(self, now: int, held: Mapping[str, int]) -> Limits | None: ...
+
+
 class Journal(Protocol):
     """Keeps filings beyond the process. It never blocks, and tells by messages what has come of a call."""
 
--- /dev/null
+++ b/ochrehoist/core/succession.py
@@ -0,0 +1,75 @@
+"""A core's state as it leaves for another module or process, and how a fresh module takes it up."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from ochrehoist import interface as i
+from ochrehoist.core import handover
+from ochrehoist.core.answers import Answers
+from ochrehoist.core.filings import Filings
+from ochrehoist.core.keys import KeyTable
+from ochrehoist.core.requests import Inbound
+
+SECOND = 1_000_000_000
+
+
+class Core(Protocol):
+    """What passing on needs of the core."""
+
+    settings: i.Settings
+    keys: KeyTable
+    live: dict[str, Inbound]
+    answers: Answers
+    filings: Filings
+    controller: Any
+    kinds: dict[str, int]
+    standby: bool
+    now: int
+    log: Any
+    tell: Callable[..., Any]
+    boot: Callable[[i.Settings], None]
+    owe: Callable[[Inbound], None]
+    event: Callable[[Inbound], i.Request]
+
+
+def state_of(core: Core) -> handover.State:
+    """All that another module needs to go on from here."""
+    if core.controller is None:
+        return handover.State(keys=core.keys, standby=core.standby)
+    used = {r.cls.name for r in core.live.values()}
+    used |= {token[1] for known in (core.keys.runs, core.keys.entries) for token in known}
+    classes = {c.name: c for c in core.controller.s.classes if c.name in used}
+    return handover.State(handover.learned(core.controller), core.standby, list(core.live.values()),
+                          core.keys, classes)
+
+
+def take_up(core: Core, state: handover.State) -> None:
+    """A fresh module that knows what was begun, what is held, and what was learned."""
+    state.keys.slack = max(c.deadline for c in (*core.settings.classes, *state.classes.values())) + SECOND
+    core.keys = state.keys
+    core.answers.clear()
+    core.boot(handover.settings_with(core.settings, state))
+    begun = {r.id: r for r in state.requests if r.started}
+    for token, run in core.keys.runs.items():
+        run.waiters = ()  # each is told of anew below
+        if run.id not in begun and not run.asleep and token[1] in core.kinds:
+            core.filings.adopt(token, run)
+    for r in begun.values():
+        core.owe(r)
+        core.tell(i.Adopted(core.event(r), r.answered, False))
+    _teach(core, state.learned)
+    held = [r for r in state.requests if not r.started and not r.answered]
+    for r in sorted(held, key=lambda r: r.arrived):
+        core.owe(r)
+        event = core.event(r)
+        event.remaining = max(1, r.due - core.now)  # by its own class, whatever has become of that
+        core.tell(event)
+    _teach(core, state.learned)  # what was held is no news of how long requests wait to be read
+
+
+def _teach(core: Core, learned: dict | None) -> None:
+    try:
+        if learned is not None:
+            handover.teach(core.controller, learned, core.now)
+    except Exception:  # it learns anew
+        core.log.exception("what was learned can't be taken up")
--- a/ochrehoist/interface.py
+++ b/ochrehoist/interface.py
@@ -154,6 +154,7 @@
     caller: int = 0
     unread_for: int = 0
     original: str | None = None
+    times: float = 1.0  # how many times the usual of its class it will cost; above 1 it keeps to the lane
 
 
 @dataclass(slots=True)
@@ -201,7 +202,19 @@
     remaining: int
 
 
-Event = Started | Request | Adopted | Completed | CallNeeded | CallEnded | CallerGone | Alarm | Leave
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """How many may run, until told anew, as measured from outside the module; without it the module alone
+    decides. `floors` and `caps` are by position in Settings.classes: up to its floor a class goes first, past
+    its cap it waits. `heavy`: of those of many times the usual cost, together. None: no such limit."""
+
+    total: int | None = None
+    floors: tuple[int, ...] = ()
+    caps: tuple[int, ...] = ()
+    heavy: int | None = None
+
+
+Event = Started | Request | Adopted | Completed | CallNeeded | CallEnded | CallerGone | Alarm | Leave | Limits
 
 
 # ---- actions
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -13,7 +13,7 @@
 
 from ochrehoist.config import AjpConfig
 from ochrehoist.core.owner import Owner
-from ochrehoist.core.requests import Arrived, Executor, Gone, Inbound, Reason, Result
+from ochrehoist.core.requests import Arrived, Door, Executor, Gone, Inbound, Reason, Result
 from ochrehoist.interface import Outcome, Repeat, RequestClass, Settings
 from ochrehoist.net import ajp
 from ochrehoist.net.ajp_server import AjpPayload, read_packet
@@ -33,7 +33,7 @@
 
     def __init__(self, status: HTTPStatus, why: str) -> None:
         super().__init__(why)
-        self.status = status
+        self.status, self.after = status, 1  # s
         self.group: str | None = None  # the class it would have had, where that is known
 
 
@@ -161,6 +161,7 @@
 
     def __init__(self, front: "AjpFront", stream: Stream) -> None:
         self.front, self.stream, self.in_hand = front, stream, False
+        self.number = next(front.numbers)  # by which the door tells callers apart
         self.used_at, self.known = time.monotonic(), False  # known: it has sent a packet
         self.served, self.pace = False, Pace(front.loop)
         self.body_bytes = 0  # read or promised, of the request in hand
@@ -210,13 +211,15 @@
         checked = None
         try:
             checked = self.front.reader.check(f)
+            self._at_the_door(checked)
             self._book(f.length)
             # A body that takes longer than its caller waits is of no use.
             until = time.monotonic() + checked[0].deadline / S
             body = self._body(f, until)
             unread = False
         except Rejected as error:
-            again = ((b"Retry-After", b"1"),) if error.status is HTTPStatus.SERVICE_UNAVAILABLE else ()
+            again = ((b"Retry-After", b"%d" % error.after),) \
+                if error.status is HTTPStatus.SERVICE_UNAVAILABLE else ()
             responder.plain(error.status, str(error), again)
             group = checked[0].name if checked else error.group
             if group is not None:
@@ -231,11 +234,26 @@
         self.front.owner.post(Arrived(request))
         while not responder.done:
             self.stream.watch(lambda: responder.done)
-            if self.stream.ended or len(self.stream.buffer) > self.front.config.packet_size:
+            # Once answered, what is in the buffer may be the next request, whole with its first chunk: a loop
+            # that runs late sees both at once.
+            if not responder.done and (self.stream.ended
+                                       or len(self.stream.buffer) > self.front.config.packet_size):
                 responder.done = True
                 self.front.owner.post(Gone(request.id))
                 raise Closed
 
+    def _at_the_door(self, checked: tuple) -> None:
+        """Turns away, before its body is read, what the worker is too far behind to decide on."""
+        door = self.front.door
+        if door is None or not self.front.owner.decides:
+            return
+        cls, tenant, _ = checked
+        backoff = door.admits(cls.name, tenant, self.number, 0)
+        if backoff is not None:
+            rejected = Rejected(HTTPStatus.SERVICE_UNAVAILABLE, "turned away, never run")
+            rejected.after = max(1, -(-backoff // S))
+            raise rejected
+
     def _body(self, f: ajp.Forward, until: float) -> bytes:
         """The whole body, or Closed: one that is cut off midway runs nothing."""
         config = self.front.config
@@ -288,6 +306,8 @@
         self.reader = AjpReader(owner, executor, config)
         self.connections: set[AjpConnection] = set()
         self.draining = False
+        self.door: Door | None = None
+        self.numbers = itertools.count(1)
         self.listening = Listening(loop, config.listen, self._accepted, max_connections, log, sock,
                                    self._make_room)
 
--- a/ochrehoist/net/loop.py
+++ b/ochrehoist/net/loop.py
@@ -46,6 +46,8 @@
         self.stopped = False
         self.forgotten: set[int] = set()  # closed in this round: their number may be in use again already
         self.signals: dict[int, Callable[[], Any]] = {}
+        # Told of each round, in s: how long it took, and by how much the latest of its timers was late.
+        self.meter: Callable[[float, float], None] | None = None
 
     # ---- tasks
     def spawn(self, run: Callable[..., Any], *args: Any) -> greenlet:
@@ -127,10 +129,12 @@
         self.stopped = True
 
     def run(self) -> None:
+        began = time.monotonic()
         while not self.stopped:
             for _ in range(len(self.ready)):
                 self._call(self.ready.popleft())
             now = time.monotonic()
+            late = now - self.timers[0].when if self.timers else 0.0
             while self.timers and (self.timers[0].call is None or self.timers[0].when <= now):
                 timer = heappop(self.timers)
                 if timer.call is not None:
@@ -140,8 +144,12 @@
             else:
                 wait = (self.timers[0].when - time.monotonic()) * 1000 if self.timers else None
             self.forgotten.clear()
+            if self.meter is not None:
+                self.meter(time.monotonic() - began, late)
             # Rounded up: a poll that ends a moment early would spin until the timer falls due.
-            for fd, events in self.poll.poll(None if wait is None else max(0, int(wait + 0.999))):
+            came = self.poll.poll(None if wait is None else max(0, int(wait + 0.999)))
+            began = time.monotonic()
+            for fd, events in came:
                 if fd not in self.forgotten and events & ~select.POLLOUT:
                     self._call(self.readers.get(fd))
                 if fd not in self.forgotten and events & ~select.POLLIN:
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ochrehoist.core.owner import Owner
-from ochrehoist.core.requests import Arrived, Executor, Gone, Inbound, Reason, Result
+from ochrehoist.core.requests import Arrived, Door, Executor, Gone, Inbound, Reason, Result
 from ochrehoist.interface import Repeat, RequestClass, Settings
 from ochrehoist.net import thrift
 from ochrehoist.net.listener import Listening, Pace
@@ -170,12 +170,15 @@
         self.checks_only = False
         self.calls = 0  # requests read
         self.answered = self.served = False  # once at least
+        self.turned_away = bytearray()  # answers of the door, sent together
         self.pace = Pace(front.loop)
         stream.on_close = lambda: front.closed(self)
 
     def run(self) -> None:
         try:
             while True:
+                if self.turned_away and not self._whole():
+                    self._send_turned_away()
                 if not self.stream.buffer:
                     self.stream.fill()  # the sweep ends what stays idle
                 self._frame(self._next())
@@ -188,6 +191,16 @@
         finally:
             self.stream.close()
 
+    def _whole(self) -> bool:
+        """Whether the next frame is here."""
+        buffer = self.stream.buffer
+        here = len(buffer) >= 4 + int.from_bytes(buffer[:4], "big")
+        return here and len(self.turned_away) < SEND_BUFFER // 4
+
+    def _send_turned_away(self) -> None:
+        data, self.turned_away = bytes(self.turned_away), bytearray()
+        self._write(data)
+
     def _next(self) -> bytes:
         """The next frame: most often it is here whole, else it must come in time."""
         buffer = self.stream.buffer
@@ -242,6 +255,8 @@
                 raise thrift.BadFrame("a sequence number in use")
             if len(self.open) >= MAX_OPEN:
                 raise thrift.BadArguments("too many requests open")
+            if self.front.door is not None and self._at_the_door(m.seqid, values):
+                return
             responder = ThriftResponder(self, m.seqid)
             request = self.front.reader.request(values, body, responder)
         except thrift.BadArguments as error:
@@ -255,6 +270,25 @@
         self.open[m.seqid] = request.id
         self.front.owner.post(Arrived(request))
 
+    def _at_the_door(self, seqid: int, values: dict[bytes, bytes]) -> bool:
+        """Turns away what the worker is too far behind to decide on, by as little of it as can be read."""
+        front, door = self.front, self.front.door
+        cls = front.names.get(values.get(b"method", b""))
+        if cls is None or not front.owner.decides:
+            return False
+        tenant, t0, peer = values.get(b"acct"), values.get(b"t0", b""), values.get(b"peer", b"")
+        age = time.time_ns() - int(t0) * MS if t0.isdigit() and len(t0) <= 15 else 0
+        backoff = door.admits(cls, tenant and tenant.decode("latin-1"),
+                              int(peer) if peer.isdigit() and len(peer) <= 9 else 0, age)
+        if backoff is None:
+            return False
+        self.calls += 1
+        self.checks_only = False
+        told = thrift.problem({b"backoff": b"%d" % (backoff // MS)})
+        self.turned_away += thrift.reply(INVOKE, seqid, 1, told)
+        front.owner.figures.count("deferred_total", cls)
+        return True
+
     def _write(self, data: bytes) -> None:
         self.answered = True
         self.stream.write(data)
@@ -284,12 +318,19 @@
         self.connections: set[Connection] = set()
         self.max_unsent = max_unsent  # bytes of all answers that are not taken yet
         self.draining = False
+        self.door: Door | None = None
+        self.names: dict[bytes, str] = {}  # classes by what is on the wire
+        self.configure(owner.settings)
         self.idle: float = owner.settings.idle / 1e9
         self.bad_frames, self.why, self.logged = 0, "", 0.0
         self.listening = Listening(loop, address, self._accepted, max_connections, log, sock,
                                    self._make_room)
         loop.call_later(0.1, self._sweep)
 
+    def configure(self, settings: Settings) -> None:
+        self.reader.configure(settings)
+        self.names = {name.encode(): name for name in self.reader.classes}
+
     def _accepted(self, sock: socket.socket) -> Callable[[], None]:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         connection = Connection(self, Stream(self.loop, sock))
--- a/ochrehoist/rules.py
+++ b/ochrehoist/rules.py
@@ -11,7 +11,7 @@
 
 from ochrehoist.interface import (
     NEVER_RAN, Adopted, Advice, Advise, Alarm, Below, Call, CallEnded, CallerGone, CallNeeded, Completed,
-    Fail, Forget, Health, Join, Keep, KeepAlive, Leave, Outcome, Preemption, Refuse, Repeat, Request,
+    Fail, Forget, Health, Join, Keep, KeepAlive, Leave, Limits, Outcome, Preemption, Refuse, Repeat, Request,
     SetAlarm, SkipCall, Start, Started, Stop)
 
 
@@ -101,6 +101,7 @@
     def __init__(self, r, kind, now):
         self.r, self.kind, self.state, self.kb = r, kind, HELD, r.memory_kb
         self.ran = self.answered = self.kept = False
+        self.heavy = r.times > 1
         self.tries = self.not_before = self.called = self.reserved = 0
         self.first, self.twins = None, []  # the held try it waits for; the repeats that wait for it
         self.arrived = now - r.unread_for
@@ -133,6 +134,7 @@
         self.heard = {}  # when each caller was last heard, oldest first, forgotten after HEARD_S
         self.left, self.patience = {}, {}  # by caller: ages of what it took back; how long it waits
         self.said, self.idle, self.healthy = None, None, True
+        self.limits, self.on, self.heavies = None, [0] * n, 0  # told; running by class; heavy ones
         self.wanted = self.others = self.measured = 0  # what wants the cores; of it reads, checks, handshakes
 
     def handle(self, now, event):
@@ -275,8 +277,8 @@
         whole = len(self.held) <= SHORT or self.now - self.ranked >= AGAIN
         self.ranked = self.now if whole else self.ranked
         groups = [list(group.values()) for group in self.groups.values()]
-        for group in sorted(groups, key=lambda g: -self._value(g[0])):
-            took = MARGIN * self.took[group[0].r.kind].value / warm
+        for group in sorted(groups, key=lambda g: (self._pool(g[0]), -self._value(g[0]))):
+            took = MARGIN * self.took[group[0].r.kind].value * group[0].r.times / warm
             n += len(group)
             if not whole and group[-1] is self.came and self._hopeless(group[-1], n, starts, took, run):
                 self._refuse(group.pop())
@@ -309,7 +311,18 @@
         return lasts if self.now < until else j.kind.deadline
 
     def _like(self, j):  # what is of like worth, but for its age
-        return j.r.kind, j.r.tenant, self.s.worth_by_work or j.r.work
+        return j.r.kind, j.r.tenant, j.r.times, self.s.worth_by_work or j.r.work
+
+    def _on_limits(self, e):  # what a worker measures of itself; a site that has none sends none
+        self.limits = e
+
+    def _pool(self, j):  # 0 within its floor, 1 past it, 2 where it has to wait
+        e, kind = self.limits, j.r.kind
+        if e is None:
+            return 1
+        if self.on[kind] >= e.caps[kind] or j.heavy and e.heavy is not None and self.heavies >= e.heavy:
+            return 2
+        return int(j.heavy or self.on[kind] >= e.floors[kind])
 
     def _release(self, j):
         if self.held.pop(j.r.id, None) is not None:
@@ -330,8 +343,10 @@
         on = self.cores + (min(self.others, unread) if fresh else 0)
         starts = max(row[min(on + 1, len(row) - 1)] + 1, min(self.floor, ceiling) - on, 1 - self.cores)
         starts = min(starts, ceiling - self.cores - self.out - len(self.asking))
+        if self.limits is not None and self.limits.total is not None:
+            starts = min(starts, self.limits.total - self.cores)
         for j in self._rank(max(0, starts))[:max(0, starts)]:
-            if not self._start(j):
+            if self._pool(j) < 2 and not self._start(j):
                 break
 
     def _rebuild(self):
@@ -368,7 +383,8 @@
         if j.state == CORE:
             if e.outcome is Outcome.OK and not self.stalled:
                 self.curve.done[min(self.cores, self.curve.crowd + 1)] += self._warmth() >= 1
-                self.took[j.r.kind].add(self.now, e.took * self._warmth() / self._crowding(self.cores))
+                took = e.took * self._warmth() / self._crowding(self.cores) / j.r.times
+                self.took[j.r.kind].add(self.now, took)
             # Idle is what a gauge said, once a beat: by one of them the floor must not climb to the top.
             idle = self.busy < FULL_LOAD and self.wanted < self.s.cores and self.held
             change = (self.climb > 0) if idle else -1
@@ -382,7 +398,10 @@
         self._end(j)
 
     def _move(self, j, state):
-        self.cores += (state == CORE) - (j.state == CORE)
+        change = (state == CORE) - (j.state == CORE)
+        self.cores += change
+        self.on[j.r.kind] += change
+        self.heavies += change * j.heavy
         self.out += (state == OUT) - (j.state == OUT)
         self.asking.pop(j.r.id, None)
         if state == ASKING:
@@ -580,4 +599,4 @@
     HANDLERS = {
         Started: _on_started, Request: _on_request, Adopted: _on_adopted, Completed: _on_completed,
         CallNeeded: _on_call_needed, CallEnded: _on_call_ended, CallerGone: _on_gone, Alarm: _on_alarm,
-        Leave: _on_leave}
+        Leave: _on_leave, Limits: _on_limits}
--- a/ochrehoist/worker.py
+++ b/ochrehoist/worker.py
@@ -88,7 +88,7 @@
                 passed = socket.socket(fileno=config.passed)
             unsent = int(config.memory_mb * 1e6 * UNSENT_SHARE)
             routers = ThriftFront(loop, owner, kernel, config.listen, room, unsent, self.log, passed)
-            takers.append(lambda new: routers.reader.configure(new.settings))
+            takers.append(lambda new: routers.configure(new.settings))
             self.fronts.append(routers)
         else:
             owner.post(Booted(None, 0))
@@ -127,6 +127,12 @@
             self.capture = Capture(loop, owner, config.capture, config.name, self.log)
             owner.answers.observer = self.capture
             takers.append(lambda new: self.capture.configure(new.settings))
+        self.measures: Any = None
+        if config.overload:
+            from ochrehoist.net.selfmeasure import SelfMeasure
+
+            self.measures = SelfMeasure(loop, owner, config.overload, config.memory_mb, self.fronts, self.log)
+            takers.append(lambda new: self.measures.configure(new.settings, new.overload))
         self.ending = Ending(loop, owner, self.fronts, config.stop_ms, self.log)
         self.room = {front: front.listening.limit for front in self.fronts}
         if config.link:
@@ -160,6 +166,8 @@
             self.journal.close()
         if self.capture:
             self.capture.close()
+        if self.measures:
+            self.measures.close()
         f = self.owner.figures
         self.log.info("ended", served=f.total("answered_total"), refused=f.total("deferred_total"),
                       failed=f.total("errored_total"))
@@ -179,12 +187,15 @@
             values["store"] = self.journal.view()
         if self.capture:
             values["capture"] = self.capture.view()
+        if self.measures:
+            values["overload"] = self.measures.view()
         if self.kernel:
             values["kernel"] = self.kernel.view()
         return said(values, HTTPStatus.OK if o.ready else HTTPStatus.SERVICE_UNAVAILABLE)
 
     def metrics(self) -> Answer:
-        text = self.owner.figures.text(self.owner.current) + (self.journal.figures() if self.journal else "")
+        text = self.owner.figures.text(self.owner.current)
+        text += "".join(part.figures() for part in (self.journal, self.measures) if part)
         return Answer(HTTPStatus.OK, text.encode(), CONTENT_TYPE)
 
     def standby(self, on: bool) -> Answer:
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,226 @@
+"""A worker that is behind: the real program, whose module was made slow, under a flood on both fronts."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+
+from stand_ins import PATIENCE, ROOT, AjpServer, Kernel, Program, Thrift, hasty, run, settings, toml_file
+
+from ochrehoist.config import load_appliance
+from ochrehoist.settings import BadInput
+
+# Run at the start of the interpreter: each decision takes 3 ms more, on whatever machine.
+SLOW = """
+import sys, time
+if "-m" in sys.orig_argv and "ochrehoist" in sys.orig_argv:
+    from ochrehoist.rules import AdmissionController
+    plain = AdmissionController.handle
+    def handle(self, now, event):
+        until = time.perf_counter() + 0.003
+        while time.perf_counter() < until:
+            pass
+        return plain(self, now, event)
+    AdmissionController.handle = handle
+"""
+
+
+class InstantKernel(Kernel):
+    def __init__(self):
+        super().__init__()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            self.reap(self.scheduled.get()[0], body=b"one")
+
+
+class InstantServer(AjpServer):
+    def __init__(self):
+        super().__init__()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            self.got.get()[2](200, b"a page")
+
+
+class Flood:
+    """Keeps so many reads open on some connections until it is told to end; every answer is kept."""
+
+    def __init__(self, address, connections=6, each=30):
+        self.going, self.kinds, self.backoffs, self.faults, self.sent = True, {}, [], [], 0
+        self.threads = [threading.Thread(target=self._run, args=(address, each)) for _ in range(connections)]
+        for thread in self.threads:
+            thread.start()
+
+    def _run(self, address, each):
+        try:
+            client = Thrift(address)
+            open_ones = [client.invoke(obj=f"{n}") for n in range(each)]
+            count = each
+            while open_ones:
+                kind, fields, _ = client.answer(open_ones.pop(0))
+                self.kinds[kind] = self.kinds.get(kind, 0) + 1
+                if kind == "Throttled":
+                    self.backoffs.append(int(fields.get("backoff", 0)))
+                if self.going:
+                    open_ones.append(client.invoke(obj=f"{count}"))
+                    count += 1
+            self.sent += count
+            client.close()
+        except Exception as error:
+            self.faults.append(repr(error))
+
+    def end(self):
+        self.going = False
+        for thread in self.threads:
+            thread.join(PATIENCE)
+        return self
+
+
+class Behind(unittest.TestCase):
+    def program(self, **how):
+        program = Program(site=hasty(), kernel=InstantKernel(), **({"overload": {}, "fault": SLOW} | how))
+        self.addCleanup(program.close)
+        return program
+
+    def status(self, program):
+        return json.loads(program.operator()[1])
+
+    def until(self, program, good):
+        end = time.monotonic() + PATIENCE
+        while not good(status := self.status(program)):
+            self.assertLess(time.monotonic(), end, status)
+            time.sleep(0.02)
+        return status
+
+    def test_a_flood_is_shed_at_the_door_filings_are_served_and_it_is_over_once_the_flood_ends(self):
+        program = self.program()
+        flood = Flood(program.at["ThriftFront"])
+        self.until(program, lambda s: s["overload"]["door"]["shed"])
+        client, served = program.thrift(), 0
+        for n in range(12):
+            kind = client.call(method="filing", token=f"{n:032x}")[0]
+            served += kind == "Answer"
+            self.assertIn(kind, ("Answer", "Throttled"))
+            client.ping()
+            self.assertTrue(client.good)
+        self.assertGreater(served, 0)
+        status = self.until(program, lambda s: sum(s["overload"]["door"]["shed"].values()) > 200)
+        self.assertFalse([g for g in status["overload"]["door"]["shed"] if g.startswith("filing")])
+        flood.end()
+        self.assertEqual(flood.faults, [])
+        self.assertEqual(sum(flood.kinds.values()), flood.sent)
+        self.assertGreaterEqual(min(flood.backoffs), 0)
+        self.assertGreater(len(set(flood.backoffs)), 20)
+        after = self.until(program, lambda s: not s["overload"]["loop"]["behind"])
+        self.assertEqual(after["in_hand"], 0)
+        counted = after["served"] + after["refused"] + after["failed"]
+        self.assertEqual(counted, flood.sent + 12)
+        self.assertEqual(program.thrift().call()[0], "Answer")
+        self.assertTrue(program.said("behind: shedding at the door"))
+        self.assertTrue(program.said("no longer behind"))
+        text = program.operator(path="/status/metrics")[1]
+        for name in ("app_loop_delay_seconds", "app_behind 0", 'app_shed_total{group="read",reason='):
+            self.assertIn(name, text)
+
+    def test_both_fronts_go_by_the_same_door_and_a_repeat_of_what_ran_gets_its_result(self):
+        program = self.program(ajp=True, server=InstantServer())
+        first = program.thrift().call(method="filing", token="0" * 31 + "1")
+        self.assertEqual(first[0], "Answer")
+        flood = Flood(program.at["ThriftFront"])
+        self.until(program, lambda s: s["overload"]["door"]["shed"])
+        web, refused = program.ajp(), 0
+        end = time.monotonic() + PATIENCE
+        while not refused and time.monotonic() < end:
+            status, headers, _ = web.call("GET", "/reads/1")
+            refused += status == 503
+            self.assertIn(status, (200, 503, 504))  # the last: its time was over
+            if status == 503:
+                self.assertGreaterEqual(int(headers["Retry-After"]), 1)
+            status, _, _ = web.call("POST", "/reads/1", body=b"x" * 9000, rest=b"x" * 814)
+            self.assertIn(status, (200, 503, 504))  # the last: its time was over
+        self.assertTrue(refused)
+        again = program.thrift().call(method="filing", token="0" * 31 + "1")
+        self.assertEqual((again[0], again[2]), ("Answer", first[2]))
+        flood.end()
+        self.assertEqual(flood.faults, [])
+        self.assertEqual(program.kernel.scheduled.qsize(), 0)
+
+    def test_leaving_while_behind_answers_all_that_was_read_and_ends(self):
+        program = self.program()
+        flood = Flood(program.at["ThriftFront"], connections=2, each=20)
+        self.until(program, lambda s: s["overload"]["loop"]["behind"])
+        flood.going = False
+        program.process.terminate()
+        flood.end()
+        self.assertEqual(program.process.wait(PATIENCE), 0)
+        self.assertEqual(flood.faults, [])
+        self.assertEqual(sum(flood.kinds.values()), flood.sent)
+
+    def test_sighup_changes_it_and_a_bad_table_is_turned_down_by_its_key(self):
+        program = self.program(fault=None)
+        self.assertEqual(self.status(program)["overload"]["running"]["controller"], "module")
+        program.reload("operators.toml", toml_file({"overload": {"controller": "seek", "most_running": 4}}))
+        self.until(program, lambda s: s["overload"]["running"]["controller"] == "seek")
+        program.reload("operators.toml", toml_file({"overload": {"controller": "best"}}),
+                       event="configuration can't be used, the old one stays")
+        self.assertEqual(self.status(program)["overload"]["running"]["controller"], "seek")
+        self.assertEqual(program.thrift().call()[0], "Answer")
+
+    def test_a_replaced_process_goes_on_with_limits_of_its_own(self):
+        before = self.program(fault=None)
+        client = before.thrift()
+        token = "a" * 32
+        self.assertEqual(client.call(method="filing", token=token)[0], "Answer")
+        after = Program(site=hasty(), before=before, kernel=before.kernel, overload={})
+        self.addCleanup(after.close)
+        after.took_over()
+        self.assertEqual(after.thrift().call(method="filing", token=token)[2], b"one")
+        self.assertEqual(after.thrift().call()[0], "Answer")
+        self.assertFalse(self.status(after)["overload"]["loop"]["behind"])
+
+
+class Off(unittest.TestCase):
+    def test_without_its_table_nothing_of_it_is_loaded_or_said(self):
+        done = subprocess.run(
+            [sys.executable, "-c", "import ochrehoist.worker, sys; print(*sys.modules)"], cwd=ROOT,
+            capture_output=True, text=True, timeout=PATIENCE)
+        loaded = done.stdout.split()
+        self.assertIn("ochrehoist.core.owner", loaded)
+        self.assertEqual([m for m in loaded if m.startswith(("ochrehoist.limits", "hdrh"))], [])
+        program = Program(site=settings(), kernel=InstantKernel())
+        self.addCleanup(program.close)
+        self.assertNotIn("overload", json.loads(program.operator()[1]))
+        self.assertNotIn("app_loop_delay", program.operator(path="/status/metrics")[1])
+
+    def test_each_fault_is_named_by_its_key(self):
+        whole = (ROOT / "deploy/ajp.toml").read_text()
+        for table, key in (("door = 1", "overload.door"), ('controller = "best"', "overload.controller"),
+                           ("most_running = 900", "overload.most_running"), ("lan = true", "overload.lan"),
+                           ("least_running = 9\nmost_running = 4", "overload.least_running")):
+            with self.subTest(table):
+                path = self.write(whole + f"\n[overload]\n{table}\n")
+                with self.assertRaises(BadInput) as raised:
+                    load_appliance(path, {})
+                self.assertIn(key, str(raised.exception))
+
+    def write(self, text):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name, "site.toml")
+        path.write_text(text)
+        return str(path)
+
+    def test_the_example_is_good(self):
+        done = run("check", str(ROOT / "deploy/overload.toml"))
+        self.assertEqual(done.returncode, 0, done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
