Leave the cores enough to run whatever the door sheds, and state what limits bring

A flood that costs more to turn away than there is processor time left nothing to be let in: 14 reads ran where the cores had room for 70 (Watch._affordable gave 0). Now twice what begins a second, and 20 more, are let in whatever comes; a test holds it, and that memory still closes the door.

--- a/benchmarks/limit_choice.py
+++ b/benchmarks/limit_choice.py
@@ -49,7 +49,7 @@
     "pools, lane": dataclasses.replace(OFF, pools=True, lane=True),
     "lane": dataclasses.replace(OFF, lane=True),
     "budgets": dataclasses.replace(OFF, retries=True),
-    "all": OverloadConfig(retries=True)}
+    "all": OverloadConfig(lane=True, retries=True)}
 
 
 def play(case: str, way: str, seed: int, seconds: float) -> tuple[str, str, float, float | None, float]:
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -97,7 +97,7 @@
     controller: str = "module"  # how the limit is found; one of CONTROLLERS
     least: int | None = None  # running at once; by default the cores
     most: int | None = None  # by default what the cores are said to survive
-    lane: bool = True  # keeps what costs many times the usual to a narrow lane
+    lane: bool = False  # keeps what costs many times the usual to a narrow lane
     retries: bool = False  # keeps callers to a budget of repeats while requests are turned away
 
 
@@ -284,7 +284,7 @@
     return OverloadConfig(
         door=r.flag("door", True), pools=r.flag("pools", True), least=least, most=most,
         controller=r.choice("controller", {name: name for name in CONTROLLERS}, CONTROLLERS[0]),
-        lane=r.flag("lane", True), retries=r.flag("retries", False))
+        lane=r.flag("lane", False), retries=r.flag("retries", False))
 
 
 def _operators(top: Reader, settings: Settings) -> dict[str, Any]:
--- a/ochrehoist/limits/watch.py
+++ b/ochrehoist/limits/watch.py
@@ -24,6 +24,7 @@
 CALM_LOOKS = 10  # for so many looks: as long as two bursts are apart, or it would turn with each
 BEHIND_LOOKS = 2  # one late look is a garbage collection, or a pause of the machine
 MEMORY_HIGH, MEMORY_FULL = 0.80, 0.95  # of the limit: from where on less is let in, and nothing but filings
+FEED, FEED_LEAST = 2.0, 20.0  # times the runs begun a second, and so many more, are let in whatever comes
 LEAST_SHARE = 0.02  # of a processor that a starved worker is taken to have at least
 FIRST_COST = 300e-6  # s of processor time for a request, until it is measured
 LONGEST_US = 60_000_000
@@ -41,6 +42,7 @@
     shed: int = 0  # and turned away at the door
     rss: int = 0  # bytes
     unread: int = 0  # bytes that wait in the system's buffers
+    begun: int = 0  # runs begun
 
 
 class Histogram:
@@ -75,6 +77,7 @@
     cost: float = FIRST_COST  # s of processor time, of one request that is let in
     shed_cost: float = FIRST_COST / 4  # of one that is turned away at the door
     offered: float = 0.0  # requests a second, with those shed
+    begun: float = 0.0  # runs a second
     late: float = 0.0
     rss: int = 0
     unread: int = 0
@@ -97,6 +100,7 @@
         self._learn_costs(s, span)
         # A pause of the machine brings in one look what came in all of it: by the span that it took.
         self.offered += SMOOTH * ((s.admitted + s.shed) / span - self.offered)
+        self.begun += SMOOTH * (s.begun / span - self.begun)
         self.rate = self._affordable(s)
         self._judge(s, span)
 
@@ -125,7 +129,8 @@
         # a requests a second are let in and offered - a are turned away: a * cost + (offered - a) * shed =
         # room
         rate = (room - self.offered * self.shed_cost) / max(1e-9, self.cost - self.shed_cost)
-        return max(0.0, rate) * self._memory_room(s.rss)
+        # A flood may cost more to turn away than there is: the cores must have something to run all the same.
+        return max(FEED * self.begun + FEED_LEAST, rate) * self._memory_room(s.rss)
 
     def _memory_room(self, rss: int) -> float:
         used = rss / self.memory_bytes
--- a/ochrehoist/net/selfmeasure.py
+++ b/ochrehoist/net/selfmeasure.py
@@ -43,7 +43,7 @@
         self.looked = self.said = time.monotonic()
         self.behind = False
         self.statm = os.open("/proc/self/statm", os.O_RDONLY)
-        self.turn = 0
+        self.turn = self.sends = 0
         loop.meter = self._round
         loop.call_later(LOOK_S, self._look)
 
@@ -72,8 +72,10 @@
             let_in, shed = self.door.look(LOOK_S)
         # A look that comes late is itself what waited.
         late = max(self.late, span - LOOK_S)
+        sends = self.owner.figures.total("sends_total")
         self.watch.look(Sample(now, cpu - self.cpu, self.busy, late, let_in, shed, self._resident(),
-                               self._unread()))
+                               self._unread(), sends - self.sends))
+        self.sends = sends
         self.cpu, self.busy, self.late = cpu, 0.0, 0.0
         self._say(now)
         self.loop.call_later(LOOK_S, self._look)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -129,6 +129,15 @@
         self.assertLess(starved.rate, 0.6 * whole.rate + 300)
         self.assertGreater(starved.rate, 100)
 
+    def test_a_flood_that_costs_more_to_turn_away_than_there_is_leaves_the_cores_their_work(self):
+        watch = Watch(100_000_000)
+        for n in range(60):
+            watch.look(Sample(n * LOOK_S, 0.099, 0.099, 0.03, 3, 4000, 20_000_000, begun=3))
+        self.assertTrue(watch.behind)
+        self.assertAlmostEqual(watch.rate, 2 * 30 + 20, delta=1)
+        watch.look(Sample(7.0, 0.099, 0.099, 0.03, 3, 4000, 99_000_000, begun=3))
+        self.assertEqual(watch.rate, 0.0)
+
     def test_one_pause_of_the_machine_or_collection_is_no_reason(self):
         watch, _ = self.loaded(500, 5)
         watch.look(sample(6.0, admitted=500, late=1.0))
@@ -328,7 +337,7 @@
         self.assertEqual(outliers.times(request(work=100 * S), 500.0), 1.0)
 
     def test_the_module_does_not_learn_a_class_from_its_outliers(self):
-        limiter, now = Limiter(OverloadConfig(), SITE, 1), 0
+        limiter, now = Limiter(OverloadConfig(lane=True), SITE, 1), 0
         told = []
         for n in range(400):
             r, took = request(), (1500 if n % 40 == 39 else 100) * MS
