--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -22,28 +22,17 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "tests"))
 
-from stand_ins import Kernel, Program, Thrift, hasty  # noqa: E402
+from instant import InstantKernel  # noqa: E402
+from stand_ins import Program, Thrift, hasty  # noqa: E402
 
 from benchmarks.read_cost import used  # noqa: E402
 from ochrehoist.net import thrift  # noqa: E402
 
 CONNECTIONS, OPEN = 16, 32
+RUN_S = 0.1  # of each run, on two cores: hardly any of the flood can be run
 ASIDE_S = 0.05  # between two checks, or two filings
 
 
-class SlowKernel(Kernel):
-    """Two cores, 100 ms a run: hardly any of the flood can be run."""
-
-    def __init__(self):
-        super().__init__()
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            rid = self.scheduled.get()[0]
-            threading.Timer(0.1, self.reap, (rid,), {"body": b"a page"}).start()
-
-
 def frame(seqid: int, number: int, method: str, token: str | None = None) -> bytes:
     values = {"method": method, "rid": f"{number:016x}", "t0": str(time.time_ns() // 1_000_000), "peer": "1",
               "acct": "acme", "est": "100.0", "mem": "20.0", "prio": "0.5", "obj": f"{number % 100:x}"}
@@ -125,7 +114,7 @@
 def play(root: Path, overload: dict | None, seconds: float, busy: int) -> dict:
     site = hasty()
     site["FamilyInfo"] |= {"Cores": 2, "HeapKb": 90e6}
-    program = Program(site=site, kernel=SlowKernel(), root=root, overload=overload, sockets=512)
+    program = Program(site=site, kernel=InstantKernel(after=RUN_S), root=root, overload=overload, sockets=512)
     os.sched_setaffinity(program.process.pid, {0})
     try:
         address = tuple(program.at["ThriftFront"])
--- a/benchmarks/read_cost.py
+++ b/benchmarks/read_cost.py
@@ -12,7 +12,6 @@
 import subprocess
 import sys
 import tempfile
-import threading
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -20,26 +19,13 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "tests"))
 
-from stand_ins import Kernel, Program, settings  # noqa: E402
-
-from benchmarks.state_load import Instant  # noqa: E402
+from instant import InstantKernel, InstantServer  # noqa: E402
+from stand_ins import Program, settings  # noqa: E402
 
 WARM = 300  # reads before the ones that count
 TICK = 1 / os.sysconf("SC_CLK_TCK")
 
 
-class InstantKernel(Kernel):
-    """Ends each run at once."""
-
-    def __init__(self):
-        super().__init__()
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            self.reap(self.scheduled.get()[0], body=b"a small page")
-
-
 def used(pid: int) -> float:
     """Seconds of processor time of a process so far."""
     fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
@@ -51,8 +37,8 @@
     site = settings()
     site["FamilyInfo"] |= {"Cores": 16, "HeapKb": 90e6}
     how = {"thrift": front == "thrift", "ajp": front == "ajp"}
-    program = Program(**how, site=site, server=Instant(), kernel=InstantKernel(), root=root,
-                      capture=capture)
+    program = Program(**how, site=site, server=InstantServer(), kernel=InstantKernel(b"a small page"),
+                      root=root, capture=capture)
     try:
         client = program.thrift() if front == "thrift" else program.ajp()
         began = 0.0
--- a/benchmarks/state_load.py
+++ b/benchmarks/state_load.py
@@ -15,7 +15,8 @@
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
 from filing_clerk import site  # noqa: E402
-from stand_ins import AjpServer, Program  # noqa: E402
+from instant import InstantServer  # noqa: E402
+from stand_ins import Program  # noqa: E402
 
 from ochrehoist.store import disk  # noqa: E402
 from ochrehoist.store.backlog import Begin, End  # noqa: E402
@@ -27,18 +28,6 @@
 FILED = 100_000
 
 
-class Instant(AjpServer):
-    """Answers each request at once, on its own connection's thread."""
-
-    def __init__(self):
-        super().__init__()
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            self.got.get()[2](data=b"done")
-
-
 def share(values, part):
     return sorted(values)[min(len(values) - 1, int(len(values) * part))] * 1e3
 
@@ -46,7 +35,7 @@
 def load(state, seconds, clients, rate=None):
     """Latencies (s) of filings and of CPings beside them, and filings a second."""
     folder = Path(tempfile.mkdtemp(dir="."))
-    server = Instant()
+    server = InstantServer()
     settings = site()
     settings["FamilyInfo"] |= {"Cores": 16, "HeapKb": 90e6}
     program = Program(thrift=False, ajp=True, site=settings, server=server,
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -9,7 +9,8 @@
 import unittest
 from pathlib import Path
 
-from stand_ins import PATIENCE, ROOT, AjpServer, Kernel, Program, Thrift, hasty, run, settings, toml_file
+from instant import InstantKernel, InstantServer
+from stand_ins import PATIENCE, ROOT, Program, Thrift, hasty, run, settings, toml_file
 
 from ochrehoist.config import load_appliance
 from ochrehoist.settings import BadInput
@@ -29,26 +30,6 @@
 """
 
 
-class InstantKernel(Kernel):
-    def __init__(self):
-        super().__init__()
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            self.reap(self.scheduled.get()[0], body=b"one")
-
-
-class InstantServer(AjpServer):
-    def __init__(self):
-        super().__init__()
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            self.got.get()[2](200, b"a page")
-
-
 class Flood:
     """Keeps so many reads open on some connections until it is told to end; every answer is kept."""
 
