Keep what a request was foreseen to cost on the request, and count only runs that began

Read again: Limiter.heavy kept the ids of requests foreseen as heavy until they ended, so each one that was refused or taken back stayed for good (only with the lane on, which is off by default); the request carries it now, and a test holds that nothing stays. Runs that were held back before they began were taken off the count of running ones. A comment named the wrong default of least_running.

--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -95,7 +95,7 @@
     door: bool = True  # turns away at the door what it is too far behind to decide on
     pools: bool = True  # limits what runs, by what completes, and keeps floors for classes
     controller: str = "module"  # how the limit is found; one of CONTROLLERS
-    least: int | None = None  # running at once; by default the cores
+    least: int | None = None  # running at once; by default a quarter of the cores
     most: int | None = None  # by default what the cores are said to survive
     lane: bool = False  # keeps what costs many times the usual to a narrow lane
     retries: bool = False  # keeps callers to a budget of repeats while requests are turned away
--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -255,6 +255,8 @@
             self.deadlines.answer_by(r.due, r.id)
 
     def event(self, r: Inbound) -> i.Request:
+        if self.limiter is not None:
+            r.times = self.limiter.times(r, self.now)
         original = self.keys.original(r.token, r.arrived) if r.token else None
         if original is not None:
             self.filings.wake(r.token)
@@ -262,7 +264,7 @@
             id=r.id, kind=self.kinds[r.cls.name], tenant=self.tenants.get(r.tenant), key=r.key, work=r.work,
             memory_kb=r.memory_kb, rank=r.rank, retry=r.retry, write=r.write, caller=r.caller,
             unread_for=max(0, self.now - r.arrived), original=original,
-            times=1.0 if self.limiter is None else self.limiter.times(r, self.now))
+            times=r.times)
 
     # ---- messages
     def _arrived(self, m: Arrived) -> None:
@@ -306,7 +308,9 @@
         if r is None:  # the module let it go before, or never knew that it was over
             self.tell(i.Completed(m.id, m.result.outcome, m.took))
             return
-        took = m.took if self.limiter is None else self.limiter.ended(r, self.now, m.took, m.result.outcome)
+        took = m.took
+        if self.limiter is not None and r.begun_at:  # what was held back never counted as running
+            took = self.limiter.ended(r, self.now, m.took, m.result.outcome)
         if r.token is not None:
             self.filings.ended(r, m.result)
         self._finish(r, m.result, took)
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -169,6 +169,7 @@
     due: int = 0
     begun_at: int = 0  # 0: not begun
     joined_at: int = 0
+    times: float = 1.0  # the usual cost of its class, as a Limiter foresaw it
     answered: bool = False  # or the caller has gone: no answer is owed
     started: bool = False
     remote: bool = False  # read by another process, which answers it, counts it and runs it
--- a/ochrehoist/limits/limiter.py
+++ b/ochrehoist/limits/limiter.py
@@ -25,7 +25,6 @@
         self.outliers, self.storms, self.windows = Outliers(), Storms(seed), Windows()
         self.seen: dict[str, Seen] = {}
         self.units: dict[str, float] = {}  # what one of a class counts as, fixed once known
-        self.heavy: set[str] = set()  # ids that went by the lane
         self.running, self.at = 0, 0.0
         self.told: Limits | None = None
         self.cheap: set[str] = set()
@@ -73,10 +72,7 @@
         """How many times the usual it will cost."""
         if not self.config.lane:
             return 1.0
-        times = self.outliers.times(r, now / S)
-        if times > 1:
-            self.heavy.add(r.id)
-        return times
+        return self.outliers.times(r, now / S)
 
     def begun(self, r: Inbound, now: int) -> None:
         self._pass(now)
@@ -89,8 +85,6 @@
         t = self._pass(now)
         crowding = max(1.0, self.running / max(1, self.settings.cores))
         self.running = max(0, self.running - 1)
-        foreseen = r.id in self.heavy
-        self.heavy.discard(r.id)
         seen = self.seen.get(r.cls.name)
         if seen is not None:
             seen.running = max(0, seen.running - 1)
@@ -105,7 +99,7 @@
         work = r.work / S if r.work else self.units.get(r.cls.name, 1.0)
         # One that costs many times what it states would look like a machine gone slow.
         self.windows.ended(t, work * (times if times >= HEAVY and not r.work else 1.0), took / S)
-        if self.config.lane and not foreseen and times > TOLD:
+        if self.config.lane and r.times <= 1 and times > TOLD:
             self.clipped += 1
             return int(took * TOLD / times)
         return took
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -347,6 +347,21 @@
         self.assertLess(max(told[100:]), 1500 * MS / 2)
         self.assertEqual({t for t in told[100:] if t <= 100 * MS}, {100 * MS})
         self.assertEqual(limiter.running, 0)
+        foreseen = request()
+        foreseen.times = 15.0
+        limiter.begun(foreseen, now)
+        self.assertEqual(limiter.ended(foreseen, now, 1500 * MS, i.Outcome.OK), 1500 * MS)
+
+    def test_what_is_foreseen_as_heavy_and_never_run_leaves_nothing_behind(self):
+        limiter = Limiter(OverloadConfig(lane=True), SITE, 1)
+        for n in range(100):
+            r, took = request(work=(100 + n) * MS), (100 + n) * MS
+            limiter.begun(r, n * S)
+            limiter.ended(r, n * S, took, i.Outcome.OK)
+        sizes = {name: len(v) for name, v in vars(limiter).items() if hasattr(v, "__len__")}
+        for _ in range(50):
+            self.assertGreater(limiter.times(request(work=5 * S), 100 * S), 1)
+        self.assertEqual(sizes, {name: len(v) for name, v in vars(limiter).items() if hasattr(v, "__len__")})
 
 
 class Budgets(unittest.TestCase):
