Ask the program, not its clients, whether readers that take nothing were cut off

Traced by a probe that prints what the front holds: 15 of 30 connections were closed, 3.76 of 3.84 MB unsent, as meant. A client that takes nothing can't see that end behind what it has not taken, unless unread bytes made it a reset: by chance. Ruled out: the bound itself, and what is read (32 of 40 frames of each).

--- a/tests/test_thrift_front.py
+++ b/tests/test_thrift_front.py
@@ -1,7 +1,6 @@
 """The real program on the platform's wire: routers, kernel and membership service are stand-ins."""
 
 import json
-import select
 import signal
 import socket
 import struct
@@ -293,18 +292,14 @@
             slow[-1].sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         quick = self.program.thrift()
         quick.ping()
-        closed = 0
         for connection in slow:  # less for each than the bound of one
             try:
                 for _ in range(40):
                     connection.sock.sendall(frame)
             except OSError:
-                closed += 1
-        ends = select.poll()
-        for connection in slow:
-            ends.register(connection.sock, select.POLLRDHUP)
-        closed += bool(ends.poll(PATIENCE * 1000))
-        self.assertTrue(closed)
+                pass
+        # Told by the program: a client that takes nothing does not see the end behind what it has not taken.
+        self.program.wait_for(lambda status: int(status["connections"].split(": ")[1].rstrip("}")) < 25)
         self.assertEqual(quick.ping()[0], "Answer")
 
 
