Close connections by shutting and draining, and never over a request that is here

It reads first now, and a close looks once more. A poll that a signal breaks off after a stop tells nothing (seen by a probe: no events, the signal a round later); it is asked again. - Connection.run closed at a half or garbled frame, and dropped the answers of what was asked before. They come first now. - Stream.close_when_sent with bytes unsent went on reading: the request ran, and write() dropped its answer. - A close over unread bytes was a reset, at the end of the process too. Now: stop reading, send, shut, drain, close. - Listening.stop dropped the accept queue where the table was full. The port stays until all of it is accepted. - _make_room closed the connection just accepted, unread, where all others were busy (23 busy, the 23rd lost). - Owner counted the notice to leave from its reading: read 1.2 s late, it ran what came after the grace, and would have answered the rest after SIGKILL. It counts from when the loop last looked (core/arrivals.py refuses by that). - EMFILE stopped accepting without making room.

Ruled out: TCP_NODELAY (on every stream); a second SIGTERM, SIGHUP within the drain (that test passes on both). Busy connections get their farewell as the port closes. Operators and agent checks close by the same piece. A sequence number in use still ends its connection at once: nobody could tell the answers apart.

--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ochrehoist import interface as i
-from ochrehoist.core import handover, succession
+from ochrehoist.core import arrivals, handover, succession
 from ochrehoist.core.answers import Answers
 from ochrehoist.core.deadlines import REARM, Deadlines
 from ochrehoist.core.figures import Figures
@@ -285,16 +285,7 @@
         r.arrived = self.now - max(0, self.wall() - r.arrived)
         for observer in self.answers.observers:
             observer.arrived(r)
-        if r.arrived + r.cls.deadline <= self.now:
-            # Its caller has given up. The module would take so long a wait for what all others wait now.
-            return self.turn_away(r, Reason.GIVEN_UP)
-        if r.token is not None and not self.keys.same(r.token, r.arrived, r.fingerprint):
-            # The result of the other filing would be taken for this one's, and this one lost unseen.
-            return self.turn_away(r, Reason.OTHER_CONTENT)
-        if r.cls.name not in self.served_classes and \
-                (r.token is None or self.keys.original(r.token, r.arrived) is None):
-            return self.turn_away(r)  # its class is gone, and no other try of it can have run
-        if r.token is not None and self.filings.turned_away(r):
+        if arrivals.turned_away(self, r):
             return
         for guard in (self.gate, self.limiter):
             if guard is None or r.token is not None and self.keys.original(r.token, r.arrived) is not None:
@@ -347,7 +338,7 @@
     def _leaving(self, m: Leaving) -> None:
         if self.leave_at is not None:
             return
-        self.leave_at, self.stop_at = self.now, self.now + m.remaining
+        self.leave_at, self.stop_at = self.now - m.age, self.now + m.remaining
         for r in self.live.values():
             if not r.answered:
                 self.deadlines.answer_by(self.stop_at - LAST_CALL, r.id)
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -256,6 +256,7 @@
 @dataclass(slots=True)
 class Leaving:
     remaining: int
+    age: int = 0  # how long ago, at the most, the notice came
 
 
 @dataclass(slots=True)
--- a/ochrehoist/net/agent.py
+++ b/ochrehoist/net/agent.py
@@ -1,7 +1,6 @@
 """What balancers ask about this worker: HAProxy's agent-check lines."""
 
 import socket
-import time
 from typing import Any
 
 from ochrehoist.core.owner import Owner
@@ -9,8 +8,6 @@
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import Stream
 
-PATIENCE = 2.0  # s for a whole question
-
 
 def agent_line(owner: Owner) -> bytes:
     """The state as HAProxy reads it. The module's Health decides; its advice, and the part of its load that
@@ -32,10 +29,3 @@
 
     def serve(self, stream: Stream) -> None:
         stream.write(agent_line(self.owner))
-        if not stream.closed:
-            # A close with unread input would reset the connection under our answer.
-            stream.sock.shutdown(socket.SHUT_WR)
-        until = time.monotonic() + PATIENCE
-        while True:
-            stream.fill(until - time.monotonic())
-            stream.buffer.clear()
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -25,6 +25,7 @@
 S = 1_000_000_000
 STUCK = 1.0  # s without a byte after which a packet that was begun is taken for one that won't come
 MOVING = 0.2  # s after its connect that a first packet must still be coming to be taken for a slow one
+FRESH = 0.05  # s after its connect within which a first request would cross a close
 YOUNG = 0.5  # s that a new connection has before it counts as silent
 WHOLE = 2.5  # s for a packet that was begun, and for the first of a new connection
 
@@ -332,16 +333,23 @@
         now = time.monotonic()
 
         def missed(c: AjpConnection) -> tuple[int, float]:
+            if c.stream.shut:
+                return -1, c.used_at
             if c.known:
                 return 2, c.used_at
             if now - c.stream.heard_at > (STUCK if c.stream.buffer else YOUNG):
                 return 0, c.used_at
             return (3 if c.stream.heard_at - c.used_at > MOVING else 1), c.used_at
 
-        idle = [c for c in self.connections if not c.in_hand and not (c.known and c.stream.buffer)]
-        if idle:
-            min(idle, key=missed).stream.close()
-        return bool(idle)
+        idle = [c for c in self.connections if not c.in_hand and not (c.known and c.stream.buffer)
+                and (c.known or now - c.used_at > FRESH)]  # the first of one just accepted may be here unread
+        while idle:
+            least = min(idle, key=missed)
+            if not least.stream.look():
+                least.stream.close()
+                return True
+            idle.remove(least)  # something has come in this very moment: a close would cross it
+        return False
 
     def closed(self, connection: AjpConnection) -> None:
         self.connections.discard(connection)
@@ -362,5 +370,5 @@
 
     def end_idle(self) -> None:
         for c in list(self.connections):
-            if not c.in_hand and not c.stream.buffer:
+            if not c.in_hand and not c.stream.look() and not c.stream.buffer:
                 c.stream.close_when_sent()
--- a/ochrehoist/net/ending.py
+++ b/ochrehoist/net/ending.py
@@ -15,6 +15,7 @@
 AFTER = 0.5  # s more, before it would be killed
 LAST = 0.2  # s before that, at which what is still open is failed
 STEP = 0.01
+CLOSING = 0.04  # s at the end in which what is still connected takes its last answers and closes
 
 
 class Front(Protocol):
@@ -34,9 +35,11 @@
     def leave(self) -> None:
         """The notice to leave. One that was replaced is ending already, and tells nobody."""
         if self.since is None and self.owner.forwarder is None:
-            self.since = time.monotonic()
-            self.log.info("leaving", stop_ms=self.stop_ms, in_hand=self.owner.owed)
-            self.owner.post(Leaving(self.stop_ms * MS))
+            # The end counts from the notice, which came after the loop last looked for one.
+            self.since = self.loop.looked
+            age = int((time.monotonic() - self.since) * 1e9)
+            self.log.info("leaving", stop_ms=self.stop_ms, in_hand=self.owner.owed, age_ms=age // MS)
+            self.owner.post(Leaving(max(0, self.stop_ms * MS - age), age))
             self.loop.spawn(self._drain)
 
     def _drain(self) -> None:
@@ -49,9 +52,10 @@
         if self.owner.forwarder is None:
             for front in self.fronts:
                 front.listening.stop()
+                front.retire()
             self._until_quiet(stop, lambda: self.owner.owed or self.owner.inbox)
             if self.owner.forwarder is None:
-                self.loop.stop()
+                self._close_all()
 
     def retire(self, tell: Callable[[dict[str, int]], None]) -> None:
         """Another process decides now: ends as soon as nothing is left that only this one can do."""
@@ -75,6 +79,22 @@
         # What has no answer by then would end with this process, and its caller hear nothing.
         self.owner.forwarder.ends_at = self.owner.clock() + int((span - LAST) * 1e9)
         self._until_quiet(time.monotonic() + span, busy)
+        self._close_all()
+
+    def _close_all(self) -> None:
+        """Ends the process. What it left to the system would be reset where bytes are unread, and take
+        answers with it: so what is here is answered, then each connection is shut, drained and closed."""
+        until = time.monotonic() + CLOSING
+        for front in self.fronts:
+            front.listening.stop(leave_queue=True)
+            for c in list(front.connections):
+                c.stream.look()
+        self.loop.sleep(STEP)
+        for front in self.fronts:
+            for c in list(front.connections):
+                c.stream.close_when_sent()
+        while time.monotonic() < until and any(f.connections for f in self.fronts):
+            self.loop.sleep(STEP / 2)
         self.loop.stop()
 
     def _until_quiet(self, stop: float, busy: Callable[[], Any]) -> None:
--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -46,7 +46,9 @@
         self.make_room, self.retrying = make_room, False
         self.sock = listen(address) if sock is None else sock
         self.sock.setblocking(False)
-        self.count, self.stopped, self.started = 0, False, False
+        self.count, self.started = 0, False
+        self.stopping = False  # as soon as all that has connected is accepted
+        self.stopped = False
 
     @property
     def address(self) -> tuple[str, int]:
@@ -68,14 +70,17 @@
             self.loop.on_readable(self.sock.fileno(), self._accept)
 
     def _accept(self) -> None:
-        while not self.full():
+        while not self.full() and not self.stopped:
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
+                if self.stopping:
+                    self._end()
                 return
             except OSError as error:
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     self.log.warning("no descriptor for a new connection")
+                    self.make_room()
                     self.loop.on_readable(self.sock.fileno(), None)
                     self.loop.call_later(PAUSE, self._resume)
                     return
@@ -84,6 +89,8 @@
             self.loop.spawn(self.accepted(sock))
             if self.full():
                 self.make_room()
+        if self.stopped:
+            return
         # At the limit, with none to spare: the rest wait to be accepted until one closes or falls idle.
         self.loop.on_readable(self.sock.fileno(), None)
         if not self.retrying:
@@ -98,19 +105,30 @@
 
     def closed(self) -> None:
         self.count -= 1
-        self._resume()
+        if self.stopping and not self.stopped:
+            self._accept()
+        else:
+            self._resume()
 
     def stop(self, leave_queue: bool = False) -> None:
         """Takes what has already connected, or leaves it to another process, then lets go of the port.
 
-        The socket is closed, never shut down: others may listen on it.
+        What waits in the queue may have sent a request, which would be lost with the queue: where there is no
+        room for all of it now, the port is let go once there was. The socket is closed, never shut down:
+        others may listen on it.
         """
-        if not self.stopped:
-            if self.started and not leave_queue:
-                self._accept()
-            self.stopped = True
-            self.loop.forget(self.sock.fileno())
-            self.sock.close()
+        if self.stopped:
+            return
+        self.stopping = True
+        if self.started and not leave_queue:
+            self._accept()
+        else:
+            self._end()
+
+    def _end(self) -> None:
+        self.stopped = True
+        self.loop.forget(self.sock.fileno())
+        self.sock.close()
 
 
 class Service:
--- a/ochrehoist/net/loop.py
+++ b/ochrehoist/net/loop.py
@@ -11,6 +11,8 @@
 
 from greenlet import GreenletExit, getcurrent, greenlet
 
+STALL = 0.005  # s over its time for which a wait may last
+
 
 def steady_clock() -> Callable[[], int]:
     """Unix time in ns as of now, kept by the monotonic clock: setting the clock does not move it."""
@@ -44,6 +46,7 @@
         self.timers: list[Timer] = []
         self.hub = getcurrent()
         self.stopped = False
+        self.looked = time.monotonic()  # when the round before this one looked for what had come
         self.forgotten: set[int] = set()  # closed in this round: their number may be in use again already
         self.signals: dict[int, Callable[[], Any]] = {}
         # Told of each round, in s: how long it took, and by how much the latest of its timers was late.
@@ -129,16 +132,10 @@
         self.stopped = True
 
     def run(self) -> None:
-        began = time.monotonic()
+        began, late = time.monotonic(), 0.0
         while not self.stopped:
             for _ in range(len(self.ready)):
                 self._call(self.ready.popleft())
-            now = time.monotonic()
-            late = now - self.timers[0].when if self.timers else 0.0
-            while self.timers and (self.timers[0].call is None or self.timers[0].when <= now):
-                timer = heappop(self.timers)
-                if timer.call is not None:
-                    self._call(timer.call)
             if self.ready or self.stopped:
                 wait = 0.0
             else:
@@ -147,13 +144,24 @@
             if self.meter is not None:
                 self.meter(time.monotonic() - began, late)
             # Rounded up: a poll that ends a moment early would spin until the timer falls due.
+            asked = time.monotonic()
             came = self.poll.poll(None if wait is None else max(0, int(wait + 0.999)))
-            began = time.monotonic()
+            if not came and wait is not None and time.monotonic() - asked > max(0.0, wait) / 1000 + STALL:
+                came = self.poll.poll(0)  # one that was stopped, and then broken off by a signal, saw nothing
+            self.looked, began = began, time.monotonic()
             for fd, events in came:
                 if fd not in self.forgotten and events & ~select.POLLOUT:
                     self._call(self.readers.get(fd))
                 if fd not in self.forgotten and events & ~select.POLLIN:
                     self._call(self.writers.get(fd))
+            # After what has come: a time that ran out while this process stood still ends nothing whose
+            # bytes were here before.
+            now = time.monotonic()
+            late = now - self.timers[0].when if self.timers else 0.0
+            while self.timers and (self.timers[0].call is None or self.timers[0].when <= now):
+                timer = heappop(self.timers)
+                if timer.call is not None:
+                    self._call(timer.call)
 
     def _call(self, call: Callable[[], Any] | None) -> None:
         if call is None:
--- a/ochrehoist/net/operators.py
+++ b/ochrehoist/net/operators.py
@@ -13,7 +13,6 @@
 from ochrehoist.net.stream import Closed, Stream, TimedOut
 
 WHOLE = 2.5  # s for a whole call: the silent and the half-sent must not keep their places
-LINGER = 0.5  # s for a caller whose call was not read to the end to take the answer
 YOUNG = 0.2  # s that a connection has before it may have to make room
 MAX_HEAD = 8192
 MAX_BODY = 4096  # read and passed over: no call takes any
@@ -60,19 +59,19 @@
     def _make_room(self) -> bool:
         """Ends the connection that has said least for longest, never one whose call has come whole."""
         before = time.monotonic() - YOUNG
-        spare = [s for s, since in self.open.items() if since < before and not s.closing and not s.unsent]
+        spare = [s for s, since in self.open.items() if s.shut or (since < before and not s.unsent)]
         if spare:
-            min(spare, key=lambda s: (bool(s.buffer), self.open[s])).close()
+            min(spare, key=lambda s: (not s.shut, bool(s.buffer), self.open[s])).close()
         return bool(spare)
 
     def serve(self, stream: Stream) -> None:
-        only_head = rejected = False
+        only_head = False
         try:
             method, path = self._call(stream)
             only_head = method == "HEAD"
             answer, more = self._carry_out(method, path)
         except Rejected as error:
-            answer, more, rejected = said({"error": str(error)}, error.status), b"", True
+            answer, more = said({"error": str(error)}, error.status), b""
         except (Closed, TimedOut):
             raise
         except Exception:
@@ -82,13 +81,6 @@
                 f"Content-Type: {answer.content_type}\r\nContent-Length: {len(answer.body)}\r\n"
                 f"Cache-Control: no-store\r\nConnection: close\r\n")
         stream.write(head.encode() + more + b"\r\n" + (b"" if only_head else answer.body))
-        if rejected and not stream.closed and not stream.unsent:
-            # What was not read of it would, at a close, reset the connection under our answer.
-            stream.sock.shutdown(socket.SHUT_WR)
-            until = time.monotonic() + LINGER
-            while True:
-                stream.buffer.clear()
-                stream.fill(until - time.monotonic())
 
     def _carry_out(self, method: str, path: str) -> tuple[Answer, bytes]:
         calls = self.calls.get(path)
--- a/ochrehoist/net/stream.py
+++ b/ochrehoist/net/stream.py
@@ -5,10 +5,12 @@
 import time
 from collections.abc import Callable
 
-from ochrehoist.net.loop import Loop, Signal
+from ochrehoist.net.loop import Loop, Signal, Timer
 
 READ = 16384  # at once: what hundreds of connections have read and not yet used must fit in memory
 MAX_UNSENT = 512 * 1024  # a peer that reads so slowly is cut off: it must not cost memory
+LINGER = 0.25  # s that a peer has to close its side once all is sent and ours is shut
+MAX_DROPPED = 256 * 1024  # of what still comes then; from there on it is not even read
 
 
 class Closed(Exception):
@@ -30,6 +32,9 @@
         self.ended = False  # no more will be read
         self.closed = False
         self.closing = False  # closes once all is sent
+        self.shut = False  # all is sent, and the peer was told that no more comes
+        self.dropping, self.dropped = False, 0  # bytes are read for nobody, and how many were
+        self.lingering: Timer | None = None
         self.heard_at = time.monotonic()  # when bytes came last, or it was opened
         self.arrived = Signal(loop)
         self.wants_input = False
@@ -53,7 +58,8 @@
             self._want_input()
             if not self.arrived.wait(None if until is None else until - time.monotonic()) \
                     and until is not None and time.monotonic() >= until:
-                raise TimedOut
+                if not self.look() and not self.ended:
+                    raise TimedOut
 
     def watch(self, done: Callable[[], bool], timeout: float | None = None) -> None:
         """Waits until done() holds (checked at each `arrived`, and as time is up), more comes or it ends."""
@@ -82,6 +88,13 @@
         self.heard_at = time.monotonic()
         self.arrived.set()
 
+    def look(self) -> bool:
+        """Takes off the socket what a busy loop has not come to yet; whether something was there."""
+        had = len(self.buffer)
+        if self.wants_input and not self.ended:
+            self._readable()
+        return len(self.buffer) > had
+
     def take(self, count: int, timeout: float | None = None) -> bytes:
         """So many bytes; the time is for all of them, or a peer could send one now and then for ever."""
         until = None if timeout is None else time.monotonic() + timeout
@@ -131,18 +144,58 @@
         if not self.unsent:
             self.loop.on_writable(self.fd, None)
             if self.closing:
-                self.close()
+                self._shut()
 
     # ---- ending
+    def discard(self) -> None:
+        """Reads for nobody any more: what still comes is dropped, for unread bytes would turn a close into a
+        reset, and with it go answers that the peer has not taken."""
+        if self.closed or self.dropping:
+            return
+        left = self.ended  # its end may have been read already
+        self.dropping = self.ended = True
+        self.buffer.clear()
+        self.arrived.set()
+        if not left:
+            self.loop.on_readable(self.fd, self._drop)
+
+    def _drop(self) -> None:
+        try:
+            data = self.sock.recv(READ)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            return self.close()
+        self.dropped += len(data)
+        if not data and not self.unsent:
+            self.close()  # the peer has gone
+        elif not data or self.dropped > MAX_DROPPED:
+            self.loop.on_readable(self.fd, None)
+
     def close_when_sent(self) -> None:
+        """Reads no more, sends what is left, and closes once the peer has, or has had its time for it."""
+        if self.closed or self.closing:
+            return
         self.closing = True
+        self.discard()
         if not self.unsent:
-            self.close()
+            self._shut()
+
+    def _shut(self) -> None:
+        self.shut = True
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return self.close()
+        self.lingering = self.loop.call_later(LINGER, self.close)
+        self._drop()  # most often its end is here already
 
     def close(self) -> None:
         if self.closed:
             return
         self.closed = self.ended = True
+        if self.lingering is not None:
+            self.lingering.cancel()
         self.loop.forget(self.fd)
         self.sock.close()
         self.arrived.set()
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -26,6 +26,7 @@
 WHOLE = 2.5  # s for a frame that was begun, and for a new connection to get its first answer
 STUCK = 1.0  # s without a byte after which a request that was begun is taken for one that won't come
 MOVING = 0.2  # s after its connect that a first request must still be coming to be taken for a slow one
+FRESH = 0.05  # s after its connect within which a first request would cross a close
 YOUNG = 0.5  # s that a new connection has before it counts as silent
 ONCE = 2.0  # s without a request after which a connection used once is taken for one that stays for nothing
 CROWDED = 0.125  # of the connections there is room for: from there on such are sent away
@@ -168,6 +169,7 @@
         self.opened = self.used_at = time.monotonic()
         self.farewelled: float | None = None
         self.checks_only = False
+        self.spoilt = False  # what comes can't be read any more; what is open is still answered
         self.calls = 0  # requests read
         self.answered = self.served = False  # once at least
         self.turned_away = bytearray()  # answers of the door, sent together
@@ -177,25 +179,43 @@
     def run(self) -> None:
         try:
             while True:
-                if self.turned_away and not self._whole():
+                if self.turned_away and not (self.whole() and len(self.turned_away) < SEND_BUFFER // 4):
                     self._send_turned_away()
                 if not self.stream.buffer:
                     self.stream.fill()  # the sweep ends what stays idle
                 self._frame(self._next())
                 if not self.served:
                     self.pace.keep()
-        except (Closed, TimedOut):
-            pass
+        except Closed:
+            if not self.stream.closing:
+                self.stream.close()
+        except TimedOut:
+            self._spoil()
         except thrift.BadFrame as error:  # ends this connection only
             self.front.bad_frame(str(error))
-        finally:
+            self._spoil()
+        except BaseException:
             self.stream.close()
-
-    def _whole(self) -> bool:
+            raise
+
+    def _spoil(self) -> None:
+        """Ends the connection, but not what was asked on it before: that is answered first."""
+        if self.turned_away:
+            self._send_turned_away()
+        self.spoilt = True
+        self.stream.discard()
+        if not self.open:
+            self.stream.close_when_sent()
+
+    @property
+    def resting(self) -> bool:
+        """Whether nothing is under way on it: no request that is open, or here and not read yet."""
+        return not self.open and not self.spoilt and not self.whole()
+
+    def whole(self) -> bool:
         """Whether the next frame is here."""
         buffer = self.stream.buffer
-        here = len(buffer) >= 4 + int.from_bytes(buffer[:4], "big")
-        return here and len(self.turned_away) < SEND_BUFFER // 4
+        return len(buffer) >= 4 + int.from_bytes(buffer[:4], "big")
 
     def _send_turned_away(self) -> None:
         data, self.turned_away = bytes(self.turned_away), bytearray()
@@ -252,7 +272,8 @@
             if values is None:
                 raise thrift.BadArguments("fields: missing")
             if m.seqid in self.open:  # nobody could tell whose answer the next one is
-                raise thrift.BadFrame("a sequence number in use")
+                self.front.bad_frame("a sequence number in use")
+                raise Closed
             if len(self.open) >= MAX_OPEN:
                 raise thrift.BadArguments("too many requests open")
             if self.front.door is not None and self._at_the_door(m.seqid, values):
@@ -299,7 +320,9 @@
         if self.open.pop(seqid, None) is not None:
             self.used_at = time.monotonic()
             self._write(data)
-            if self.front.draining and not self.open:
+            if self.spoilt and not self.open:
+                self.stream.close_when_sent()
+            elif self.front.draining and not self.open:
                 self.farewell()
 
     def farewell(self) -> None:
@@ -362,7 +385,7 @@
         now = time.monotonic()
 
         def missed(c: Connection) -> tuple[int, float]:
-            if c.farewelled:
+            if c.stream.shut or c.farewelled:
                 return 0, c.used_at
             quiet = now - c.stream.heard_at
             if c.stream.buffer and quiet > STUCK:
@@ -373,26 +396,37 @@
                 return (1 if not c.stream.buffer and quiet > YOUNG else 4), c.used_at
             return (2 if c.calls <= 1 or not c.served else 5), c.used_at
 
-        idle = [c for c in self.connections if not c.open]
-        if idle:
-            min(idle, key=missed).stream.close()
-        return bool(idle)
+        def spare(c: Connection) -> bool:
+            # A request that is here keeps its connection, but for a flood that waits for its pace. On one
+            # just accepted the first may be here, and nobody has looked.
+            looked = c.stream.wants_input or c.stream.buffer or c.stream.ended
+            return not c.open and (not c.whole() or c.pace.left < 0) and looked and now - c.opened > FRESH
+
+        idle = [c for c in self.connections if spare(c)]
+        while idle:
+            least = min(idle, key=missed)
+            if not least.stream.look():
+                least.stream.close()
+                return True
+            idle.remove(least)  # something has come in this very moment: a close would cross it
+        return False
 
     def _sweep(self) -> None:
         """Idle connections are ended by farewell, never by a close that a request could cross."""
         now = time.monotonic()
         crowded = len(self.connections) > CROWDED * self.listening.limit
         for c in list(self.connections):
-            if c.open or c.stream.closed:
+            if c.stream.closing or c.stream.closed or not c.resting:
                 continue
             # What is still sending a request is in use, though the request is not here yet.
             used_at = max(c.used_at, c.stream.heard_at) if c.stream.buffer else c.used_at
             idle = now - used_at
             if c.farewelled is not None:
-                if now - max(c.farewelled, used_at) > LINGER:
+                if now - max(c.farewelled, used_at) > LINGER and not c.stream.look():
                     c.stream.close_when_sent()
             elif not c.answered and now - c.opened > WHOLE:
-                c.stream.close()  # nothing that could be answered came: nobody waits for anything here
+                if not c.stream.look():
+                    c.stream.close()  # nothing that could be answered came: nobody waits for anything here
             elif not c.checks_only and (idle > self.idle > 0 or (crowded and c.calls <= 1 and idle > ONCE)):
                 c.farewell()
         if self.bad_frames and now - self.logged > 1:  # one line for all: a flood must not fill the log
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -13,6 +13,7 @@
 import tempfile
 import threading
 import time
+import unittest
 from pathlib import Path
 
 from ochrehoist.lab.toml import toml_file
@@ -65,6 +66,16 @@
         return getattr(self.sock, name)
 
 
+class Sink:
+    """Takes what would be sent."""
+
+    def __init__(self, into):
+        self.into = into
+
+    def sendall(self, data):
+        self.into.append(data)
+
+
 class Listener:
     """A loopback server; each connection gets a thread."""
 
@@ -225,6 +236,16 @@
     return data
 
 
+def ends(sock):
+    """How a connection ends for its peer, once all that was sent on it is read."""
+    try:
+        while sock.recv(65536):
+            pass
+    except ConnectionResetError:
+        return "reset"
+    return "closed"
+
+
 def text(data):
     data = data if isinstance(data, bytes) else data.encode()
     return struct.pack(">i", len(data)) + data
@@ -475,7 +496,7 @@
     def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, fault=None,
                  stall_log=False, boot=True, passed=False, before=None, appliance=None, inherits=None,
                  kernel=None, state=None, server=None, root=ROOT, capture=None, overload=None,
-                 peers=None, sites=None, recovery=None, name="n1", **more):
+                 peers=None, sites=None, recovery=None, name="n1", listen="127.0.0.1:0", **more):
         """With `before`, it is started beside that program to replace it. `passed`: its socket stays here.
 
         `inherits` is called in the new process before the program, as a parent that leaves signals changed.
@@ -508,7 +529,7 @@
             env["OCHREHOIST_AJP"] = self.file("operators.toml", toml_file({"overload": overload}))
         if thrift:
             self.config = top | {
-                "listen": "127.0.0.1:0", "kernel": self.kernel.address, "members": self.members.address,
+                "listen": listen, "kernel": self.kernel.address, "members": self.members.address,
                 "seed": "8c1f30d27a5be964", "settings": site}
             env["EDGE_CONFIG"] = self.file("config.json", json.dumps(self.config))
         if fault:  # run at the start of the interpreter, before the program itself
@@ -567,6 +588,21 @@
     def ajp(self):
         return Ajp(self.at["AjpFront"])
 
+    def standing_still(self, span, meanwhile):
+        """The process stands still for so long, and sees at once what was done meanwhile when it goes on."""
+        self.process.send_signal(signal.SIGSTOP)
+        try:
+            meanwhile()
+            time.sleep(span)  # what is tested is that this time runs out
+        finally:
+            self.process.send_signal(signal.SIGCONT)
+
+    def served(self, router, body=b"doc", **fields):
+        """One request, run and answered."""
+        seqid = router.invoke(body=body, **fields)
+        self.kernel.reap(self.kernel.next()[0], body=b"served")
+        assert router.answer(seqid) == ("Answer", {}, b"served"), router.answer(seqid)
+
     def operator(self, method="GET", path="/status"):
         """An operator's call: status and text."""
         connection = http.client.HTTPConnection(*self.at["Operators"], timeout=PATIENCE)
@@ -622,3 +658,10 @@
             self.passed.close()
         if Path(self.folder.name).exists():
             self.folder.cleanup()
+
+
+class ProgramCase(unittest.TestCase):
+    def start(self, **how):
+        program = Program(**how)
+        self.addCleanup(program.close)
+        return program
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -4,47 +4,22 @@
 import time
 import unittest
 
-from stand_ins import Ajp, Program, Thrift
+from stand_ins import Ajp, Program, Sink, Thrift, ends
 
 DUE = 3.0  # s from connecting to a word or a close
 HEAD = struct.pack(">I", 500) + b"\x80\x01"
 
 
-def closes(connection):
-    """Waits for the end of a connection."""
-    try:
-        while connection.sock.recv(100):
-            pass
-    except ConnectionResetError:
-        pass
-    return True
-
-
-class Sink:
-    """Takes what would be sent."""
-
-    def __init__(self, into):
-        self.into = into
-
-    def sendall(self, data):
-        self.into.append(data)
-
-
 class Bad(unittest.TestCase):
     def setUp(self):
         self.program = Program(ajp=True, sockets=160)
         self.addCleanup(self.program.close)
         self.kernel = self.program.kernel
 
-    def served(self, router, body=b"doc", **fields):
-        seqid = router.invoke(body=body, **fields)
-        self.kernel.reap(self.kernel.next()[0], body=b"served")
-        self.assertEqual(router.answer(seqid), ("Answer", {}, b"served"))
-
     def test_the_silent_the_half_sent_and_those_that_take_all_back_are_closed_in_time(self):
         router, began = self.program.thrift(), time.monotonic()
-        self.served(router)
-        self.served(router)  # one that asked once would be taken for one that stays for nothing
+        self.program.served(router)
+        self.program.served(router)  # one that asked once would be taken for one that stays for nothing
         bad = [self.program.thrift() for _ in range(5)]
         bad[1].sock.sendall(HEAD)
         bad[2].abort(7)
@@ -54,9 +29,9 @@
         web = [self.program.ajp() for _ in range(2)]
         web[1].sock.sendall(b"\x12\x34\0\x50\2")
         for connection in bad + web:
-            self.assertTrue(closes(connection))
+            self.assertIn(ends(connection.sock), ("closed", "reset"))
         self.assertLess(time.monotonic() - began, DUE)
-        self.served(router)
+        self.program.served(router)
 
     def test_the_silent_and_half_sent_do_not_shut_out_routers_of_either_wire(self):
         at, web_at = self.program.at["ThriftFront"], self.program.at["AjpFront"]
@@ -66,7 +41,7 @@
             for bad, part in zip(crowd[-1], (HEAD[:2], b"\x12\x34"), strict=True):
                 bad.sock.sendall(part)
         router, web = Thrift(at), Ajp(web_at)
-        self.served(router)
+        self.program.served(router)
         web.request()
         self.program.server.next()[2](data=b"served")
         self.assertEqual(web.answer()[2], b"served")
@@ -74,8 +49,8 @@
 
     def test_a_rightful_request_that_takes_two_seconds_to_come_outlives_a_crowd_of_idle_ones(self):
         at, keeper = self.program.at["ThriftFront"], self.program.thrift()
-        self.served(keeper)
-        self.served(keeper)
+        self.program.served(keeper)
+        self.program.served(keeper)
         slow, web = self.program.thrift(), self.program.ajp()
         whole, parts = [], []
         written = str(time.time_ns() // 1_000_000 + 2200)  # when its last byte is written
@@ -128,7 +103,7 @@
         for length in (20_000, 60_000_000, 1 << 31):
             bad = self.program.thrift()
             bad.sock.sendall(struct.pack(">I", length) + HEAD)
-            self.assertTrue(closes(bad))
+            self.assertIn(ends(bad.sock), ("closed", "reset"))
         self.assertLess(time.monotonic() - began, 1.0)
 
     def test_a_number_in_use_ends_its_connection_and_frees_what_it_held(self):
@@ -137,16 +112,16 @@
         rid = self.kernel.next()[0]
         bad.seqid -= 1
         bad.invoke()
-        self.assertTrue(closes(bad))
+        self.assertIn(ends(bad.sock), ("closed", "reset"))
         self.kernel.reap(rid)
-        self.served(router)
+        self.program.served(router)
 
     def test_a_filing_that_the_kernel_was_never_told_of_leaves_its_key_free(self):
         bad, router = self.program.thrift(), self.program.thrift()
         seqid = bad.invoke("filing", b"invented", token="key")
         self.kernel.reject(self.kernel.next()[0])
         self.assertEqual(bad.answer(seqid)[0], "Broken")
-        self.served(router, method="filing", token="key")
+        self.program.served(router, method="filing", token="key")
 
     def test_figures_out_of_range(self):
         bad, router = self.program.thrift(), self.program.thrift()
@@ -154,7 +129,7 @@
             self.assertEqual(bad.call(**fields)[0], "Exception")
         self.assertEqual(bad.call(t0="1")[0], "Broken")  # its caller gave up long ago
         self.assertEqual(self.program.said("answered by the backstop"), [])  # the module never heard of it
-        self.served(router)
+        self.program.served(router)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,202 @@
+"""Two events that cross: each test forces the bad order, over real connections (docs/design/crossings.md).
+
+A process that stands still while bytes come and times run out sees both at once when it goes on.
+"""
+
+import json
+import os
+import signal
+import socket
+import struct
+import tempfile
+import time
+
+from stand_ins import PATIENCE, ProgramCase, Sink, ends, settings
+
+BEGUN = struct.pack(">I", 500) + b"\x80\x01"  # of a frame whose rest does not come
+GARBLED = b"\xff\xff\xff\xff"
+LASTS = 2.5  # s for a frame that was begun
+BUSY = """
+import time
+from ochrehoist.core.owner import Owner
+from ochrehoist.core.requests import Arrived
+plain = Owner.TAKES[Arrived]
+def arrived(owner, m):
+    if m.request.payload.body == b"long":
+        open({flag!r}, "w").close()
+        time.sleep(0.8)
+    plain(owner, m)
+Owner.TAKES[Arrived] = arrived
+"""  # the core is busy with one request for longer than a connection lingers
+
+
+class Closes(ProgramCase):
+    """A connection that is closed while something is on its way on it."""
+
+    few = settings(FamilyInfo=settings()["FamilyInfo"] | {"Callers": 10_000})  # idle ones are ended soon
+
+    def test_a_request_that_came_before_an_idle_connection_is_closed_is_answered(self):
+        flag = os.path.join(self.enterContext(tempfile.TemporaryDirectory()), "busy")
+        program = self.start(site=self.few, fault=BUSY.format(flag=flag))
+        router, other = program.thrift(), program.thrift()
+        program.served(router)
+        router.answer(None)  # its farewell
+        other.invoke(body=b"long")
+        while not os.path.exists(flag):
+            time.sleep(0.001)
+        seqid = router.invoke(body=b"crossing")  # the time to close it runs out while the core is busy
+        self.assertEqual(program.kernel.next()[2], b"long")
+        rid, _, body = program.kernel.next()
+        self.assertEqual(body, b"crossing")
+        program.kernel.reap(rid, body=b"answered")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"answered"))
+
+    def test_a_first_request_that_came_within_a_stall_is_answered(self):
+        program = self.start()
+        router = program.thrift()
+        program.wait_for(lambda status: "'ThriftFront': 1" in status["connections"])
+        asked = []
+        program.standing_still(LASTS + 0.2, lambda: asked.append(router.invoke(body=b"first")))
+        program.kernel.reap(program.kernel.next()[0], body=b"answered")
+        self.assertEqual(router.answer(asked[0]), ("Answer", {}, b"answered"))
+
+    def test_the_rest_of_a_frame_that_came_within_a_stall_is_read(self):
+        program = self.start()
+        router = program.thrift()
+        program.served(router)
+        whole = []
+        plain, router.sock = router.sock, Sink(whole)
+        seqid = router.invoke(body=b"in two parts")
+        router.sock = plain
+        router.sock.sendall(whole[0][:30])
+        program.thrift().ping()
+        program.standing_still(LASTS + 0.2, lambda: router.sock.sendall(whole[0][30:]))
+        program.kernel.reap(program.kernel.next()[0], body=b"answered")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"answered"))
+
+    def test_what_was_asked_before_half_a_frame_is_answered_though_the_rest_never_comes(self):
+        program = self.start()
+        router = program.thrift()
+        seqid = router.invoke(body=b"asked")
+        rid = program.kernel.next()[0]
+        router.sock.sendall(BEGUN)
+        router.sock.settimeout(LASTS + 0.7)
+        with self.assertRaises(TimeoutError):  # it is not closed when the time of the frame is over
+            router.sock.recv(1)
+        router.sock.settimeout(PATIENCE)
+        program.kernel.reap(rid, body=b"answered")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"answered"))
+        self.assertEqual(ends(router.sock), "closed")
+
+    def test_what_was_asked_before_a_garbled_frame_is_answered_and_nothing_after_it(self):
+        program = self.start()
+        router, other = program.thrift(), program.thrift()
+        seqid = router.invoke(body=b"asked")
+        rid = program.kernel.next()[0]
+        router.sock.sendall(GARBLED)
+        for _ in range(3):
+            other.ping()
+        router.invoke(body=b"behind it")
+        for _ in range(3):
+            other.ping()
+        program.kernel.reap(rid, body=b"answered")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"answered"))
+        self.assertEqual(ends(router.sock), "closed")
+        self.assertTrue(program.kernel.scheduled.empty())
+
+    def test_a_connection_that_is_to_close_reads_no_request_whose_answer_it_could_not_send(self):
+        program = self.start(site=self.few)
+        slow, other = program.thrift(), program.thrift()
+        slow.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        program.served(slow)
+        for _ in range(60):  # unanswered for want of a reader: more than both buffers hold
+            slow.send("x" * 9000, b"\0")
+        until = time.monotonic() + 2.0  # its farewell, and the time that it has to close
+        while time.monotonic() < until:
+            program.served(other)
+        slow.invoke(body=b"too late")
+        for _ in range(3):
+            other = program.thrift()
+            program.served(other)  # were the late one read, the kernel would have it first
+        self.assertTrue(program.kernel.scheduled.empty())
+
+    def test_a_process_that_ends_resets_nobody_whose_bytes_it_has_not_read(self):
+        program = self.start(stop_ms=1200)
+        flood = program.thrift()
+        flood.sock.settimeout(PATIENCE)
+        numbers = [flood.send("fly", b"\0" * 40) for _ in range(1500)]  # read at a hundred a second
+        flood.answer(numbers[0])
+        program.process.send_signal(signal.SIGTERM)
+        self.assertEqual(ends(flood.sock), "closed")
+        self.assertEqual(program.ended(), 0)
+
+
+class Shutdown(ProgramCase):
+    def test_what_waits_in_the_accept_queue_at_the_end_is_answered_once_there_is_room(self):
+        family = settings()["FamilyInfo"] | {"Cores": 40}
+        program = self.start(sockets=64, site=settings(FamilyInfo=family))
+        busy = []
+        while len(busy) < 23:  # all that there is room for, each with a request that is open
+            router = program.thrift()
+            busy.append((router, router.invoke(body=b"busy")))
+        program.wait_for(lambda status: "'ThriftFront': 23" in status["connections"]
+                         and status["in_hand"] == "23")
+        waiting = program.thrift()
+        seqid = waiting.invoke(body=b"in the queue")
+        program.process.send_signal(signal.SIGTERM)
+        time.sleep(0.8)  # the grace runs out, and with it the port
+        for _ in busy:
+            program.kernel.reap(program.kernel.next()[0], body=b"done")
+        for router, number in busy:
+            self.assertEqual(router.answer(number)[2], b"done")
+            router.close()
+        self.assertIn(waiting.answer(seqid)[0], ("Throttled", "Broken"))
+        self.assertEqual(program.ended(), 0)
+
+    def test_a_request_that_came_on_a_resting_connection_within_a_stall_at_the_end_is_answered(self):
+        program = self.start(stop_ms=2500)
+        router = program.thrift()
+        program.served(router)
+        program.process.send_signal(signal.SIGTERM)
+        router.answer(None)  # its farewell; it rests, and does not close
+        asked = []
+        program.standing_still(1.0, lambda: asked.append(router.invoke(body=b"crossing")))
+        program.kernel.reap(program.kernel.next()[0], body=b"answered")  # it came within the grace
+        self.assertEqual(router.answer(asked[0]), ("Answer", {}, b"answered"))
+        self.assertEqual(ends(router.sock), "closed")
+        self.assertEqual(program.ended(), 0)
+
+    def test_a_notice_that_is_read_late_counts_from_when_it_came(self):
+        program = self.start()
+        router, late = program.thrift(), program.thrift()
+        program.served(late)
+        seqid = router.invoke(body=b"in hand")
+        program.kernel.next()
+        asked, began = [], time.monotonic()
+
+        def notice():
+            program.process.send_signal(signal.SIGTERM)
+            time.sleep(0.6)  # past the grace of 0.3 s
+            asked.append(late.invoke(body=b"after the grace"))
+
+        program.standing_still(0.6, notice)
+        self.assertEqual(late.answer(asked[0])[0], "Throttled")
+        self.assertTrue(program.kernel.scheduled.empty())
+        self.assertEqual(router.answer(seqid)[0], "Broken")
+        self.assertLess(time.monotonic() - began, 3.0)  # killed 2.5 s after the notice, 3.7 after its reading
+        self.assertEqual(program.ended(), 0)
+
+    def test_a_second_notice_and_new_settings_within_the_drain_change_nothing_of_it(self):
+        program = self.start()
+        router = program.thrift()
+        seqid = router.invoke(body=b"last")
+        rid = program.kernel.next()[0]
+        program.process.send_signal(signal.SIGTERM)
+        program.members.wait_for("OUT")
+        program.process.send_signal(signal.SIGTERM)
+        changed = program.config | {"settings": settings(FleetSize=9)}
+        program.reload("config.json", json.dumps(changed))
+        program.kernel.reap(rid, body=b"answered")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"answered"))
+        router.farewell()
+        self.assertEqual(program.ended(), 0)
--- a/tests/test_replace.py
+++ b/tests/test_replace.py
@@ -9,7 +9,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from stand_ins import PATIENCE, Program, Thrift, run, toml_file
+from stand_ins import PATIENCE, ProgramCase, Thrift, run, toml_file
 
 from ochrehoist import interface as i
 from ochrehoist.core.answers import Answers
@@ -20,12 +20,7 @@
 S = 1_000_000_000
 
 
-class Case(unittest.TestCase):
-    def start(self, **how):
-        program = Program(**how)
-        self.addCleanup(program.close)
-        return program
-
+class Case(ProgramCase):
     def replaced(self, old, **how):
         """The program that took the place of the old one, which has got its notice."""
         new = self.start(before=old, **how).took_over()
