Keep windows, reports, kernel notices and a taken-over state true at their edges

Seen, each by a test that forces its order; 10 of the 11 in tests/test_crossing_links.py are red on: - KeyTable.started ended a window to the ns, while t0 has whole ms and two clocks are read for it: a repeat with t0 at the very end ran again. Two spoilt answers to questions, however far apart, counted as a gap in the notices. After a stall a link whose answers were here was taken for silent. - Predecessor.run threw away a whole state where the old process died between yes and go: a filing ran twice. - predecessors_sockets gave up after 2 s on one that stood still, and the new process refused to start (address in use). - Worker counted descriptors by the settings where the system gives fewer: idle clients took those of reports.

Ruled out: idle clients while the list is down, with the settings' own limit: reports, health, operators and a new kernel link get theirs (that test passes on both).

--- a/ochrehoist/core/keys.py
+++ b/ochrehoist/core/keys.py
@@ -9,11 +9,14 @@
 from ochrehoist.core.requests import Fingerprint, KeyId, Result
 
 NOBODY = (None, 0, None)
+# Ns for which a run is known beyond its window: times come in whole ms, and two clocks are read for each, one
+# after the other, by a process that may be stopped in between. A result told too long harms nobody.
+EDGE = 100_000_000
 
 
 @dataclass(slots=True)
 class Run:
-    """The try of a filing that ran. Its window counts from the arrival of that try."""
+    """The try of a filing that ran. Its window counts from that try's arrival, and ends an edge later."""
 
     id: str
     window_end: int
@@ -77,7 +80,7 @@
 
     def started(self, token: KeyId, holder: str, window_end: int, fingerprint: Fingerprint | None) -> None:
         self._release(token)
-        self.runs[token] = Run(holder, window_end, fingerprint)
+        self.runs[token] = Run(holder, window_end + EDGE, fingerprint)
 
     def never_ran(self, token: KeyId, holder: str) -> list[str]:
         """Takes back a run that was never begun: a later try may run. Gives the repeats that waited."""
--- a/ochrehoist/core/succession.py
+++ b/ochrehoist/core/succession.py
@@ -50,7 +50,11 @@
     core.answers.clear()
     core.boot(handover.settings_with(core.settings, state))
     begun = {r.id: r for r in state.requests if r.started}
+    windows = {c.name: c.window for c in core.settings.classes}
     for token, run in core.keys.runs.items():
+        known = state.classes.get(token[1])
+        if known is not None:  # a longer window holds for what ran before it, too
+            run.window_end += max(0, windows.get(known.name, 0) - known.window)
         run.waiters = ()  # each is told of anew below
         if run.id not in begun and not run.asleep and token[1] in core.kinds:
             core.filings.adopt(token, run)
--- a/ochrehoist/net/kernel.py
+++ b/ochrehoist/net/kernel.py
@@ -4,7 +4,6 @@
 """
 
 import base64
-import binascii
 import json
 import time
 from collections.abc import Callable
@@ -24,6 +23,7 @@
 CONNECT = 0.25  # s for a link to a process on this machine: what hangs must not hold up a move
 LOST = 10.0  # s after a break until a filing still in doubt counts as failed, so that its slot is free
 SILENT = 0.7  # s without an answer to a question after which a link is taken for silent
+MUTE = 2.0  # the same on a link that tells other things meanwhile
 BOOT = 1.0  # s for the first word on a new link, once the kernel was up
 MAX_ASKED = 64  # questions without an answer that are remembered
 OUTCOMES = {"OK": Outcome.OK, "ERROR": Outcome.FAILED, "STOPPED": Outcome.CANCELLED, "MOOT": Outcome.MOOT}
@@ -65,7 +65,7 @@
 
     def measure(self) -> None:
         if self.stream is not None:
-            if self.questions and time.monotonic() - next(iter(self.questions.values())) > SILENT:
+            if self._silent():
                 self.log.warning("the kernel's link is silent")
                 return self.stream.close()  # notices are told again on a new one
             self.asked += 1
@@ -75,6 +75,14 @@
                 del self.questions[next(iter(self.questions))]
             self.stream.write(_line(cmd="SYSINFO", token=token))
 
+    def _silent(self) -> bool:
+        """Whether an answer is overdue. After a stall of this process it may be here, behind notices."""
+        if not self.questions:
+            return False
+        now = time.monotonic()
+        asked = now - next(iter(self.questions.values()))
+        return asked > SILENT and (now - self.stream.heard_at > SILENT or asked > MUTE)
+
     def _schedule(self, run: Run) -> None:
         r = run.request
         run.give(time.monotonic())
@@ -96,8 +104,9 @@
     def view(self) -> dict[str, Any]:
         """For operators: the link's address and state, and how much waits for it."""
         now = time.monotonic()
-        silent = self.questions and now - next(iter(self.questions.values())) > SILENT
-        state = ("silent" if silent else "up") if self.stream else "down" if self.booted else "starting"
+        state = "down" if self.booted else "starting"
+        if self.stream:
+            state = "silent" if self._silent() else "up"
         age = None if self.measured_at is None else round(now - self.measured_at, 2)
         return {"address": f"{self.address[0]}:{self.address[1]}", "link": state,
                 "since_s": round(now - self.since, 1), "gauges_age_s": age, "notices": self.offset,
@@ -178,6 +187,7 @@
             values = dict(zip(self.gauges, [float(v) for v in m["load"]], strict=False))
             asked = self.questions.pop(m["token"], None)
             if asked is not None:
+                self.stepped_over = -1  # all that was to be told again on this link has been
                 self.runs.heed(asked, time.monotonic())
                 self._settle_doubts(asked, values.get("runnable"))
             self.measured_at = time.monotonic()
@@ -187,9 +197,10 @@
             if offset > self.offset + 1:
                 self._out_of_step(f"notice {offset} after {self.offset}")
             if offset > self.offset:  # else it was told before
-                self.offset = offset
-                if command == "REAP":
-                    self._reaped(m)
+                end = self._end(m) if command == "REAP" else None
+                self.offset = offset  # one that can't be read has not been heard: it is told again
+                if end is not None:
+                    self._over(*end)
         elif command == "EINVAL":
             # A request that it was never told of: some client's invention, and nothing was begun.
             self.log.warning("the kernel did not carry out a command", command=m.get("result"),
@@ -220,13 +231,17 @@
         if self.runs.filings_in_doubt():
             self.measure()
 
-    def _reaped(self, m: dict) -> None:
+    def _end(self, m: dict) -> tuple[str, Result, int]:
+        """Which run is over, its result, and how long it took; raises where that can't be read."""
+        request_id = m["req"]
         try:
             body = base64.b64decode(m.get("payload") or "", validate=True)
-        except binascii.Error:
-            return self._over(m["req"], Result(Outcome.FAILED), 0)
-        outcome = OUTCOMES.get(m["result"], Outcome.FAILED)
-        self._over(m["req"], Result(outcome, body), int(m.get("elapsed_ms", 0) * MS))
+            took = int(m.get("elapsed_ms", 0) * MS)
+        except (ValueError, TypeError):
+            if self.stepped_over != self.offset:
+                raise
+            return request_id, Result(Outcome.FAILED), 0  # told twice, and no better
+        return request_id, Result(OUTCOMES.get(m["result"], Outcome.FAILED), body), took
 
     def _over(self, request_id: str, result: Result, took: int) -> None:
         if self.runs.over(request_id) is not None:
--- a/ochrehoist/net/link.py
+++ b/ochrehoist/net/link.py
@@ -33,6 +33,7 @@
 STILL = 0.5  # s for it while a core stands still: what is held there has due times
 RETRY = 0.05  # s between tries to get the state
 RUNS_ON = 2.0  # s for which what a process had begun counts as running after it died
+TRIES = 4  # to get the sockets of a process that gives no answer
 MAX_LISTENING = 8  # sockets that are handed over
 
 
@@ -167,6 +168,7 @@
         self.wanted = Signal(loop)
         self.stream: Stream | None = None
         self.present = True  # it may run something that this one does not see
+        self.received: handover.State | None = None  # whole, and not yet left to this process
         owner.predecessor = self.wanted.set
 
     def run(self) -> None:
@@ -174,9 +176,17 @@
         while True:
             try:
                 sock = _connected(self.path, ANSWER)
-            except (FileNotFoundError, ConnectionRefusedError):  # it is gone: a cold start
-                self.present = False
-                return self._go_on(None)
+            except (FileNotFoundError, ConnectionRefusedError):  # it is gone
+                if self.received is None:  # a cold start
+                    self.present = False
+                    return self._go_on(None)
+                # It died between its last word and its leave. What it had begun must not run again; what it
+                # had not has no caller any more.
+                self.received.requests = [r for r in self.received.requests if r.started]
+                self._go_on(self.received)
+                while self.owner.inbox:
+                    self.loop.sleep(RETRY)
+                return self._lost()
             except OSError as error:
                 self.log.warning("the process before this one can't be reached", why=repr(error))
                 self.loop.sleep(RETRY)
@@ -201,6 +211,7 @@
                                      self.owner.result_bytes, RESULT_OVERHEAD, self._send, self.codec)
         while not receiver.done:
             receiver.line(_read(stream, ANSWER))
+        self.received = receiver.state
         stream.write(_line({"m": "yes", "at": self.at()}))
         if _read(stream, ANSWER)["m"] != "go":
             raise ValueError("no go")
@@ -278,23 +289,23 @@
 def predecessors_sockets(path: str) -> dict[Address, socket.socket] | None:
     """The listening sockets of the process before this one, by address; None where there is no such process.
 
-    It waits, for the addresses could not be bound while that process lives.
+    It waits, for the addresses could not be bound while that process lives, though it stands still.
     """
-    try:
-        if not stat.S_ISSOCK(os.stat(path).st_mode):
-            return None
-        sock = _connected(path, ANSWER)
-    except (FileNotFoundError, ConnectionRefusedError):
-        return None
-    except OSError:
-        return {}
-    found = {}
-    with sock:
+    descriptors: list[int] = []
+    for _ in range(TRIES):
         try:
-            sock.sendall(_line({"m": "sockets"}))
-            _, descriptors, _, _ = socket.recv_fds(sock, 65536, MAX_LISTENING)
+            if not stat.S_ISSOCK(os.stat(path).st_mode):
+                return None
+            with _connected(path, ANSWER) as sock:
+                sock.sendall(_line({"m": "sockets"}))
+                _, descriptors, _, _ = socket.recv_fds(sock, 65536, MAX_LISTENING)
+            if descriptors:
+                break
+        except (FileNotFoundError, ConnectionRefusedError):
+            return None
         except OSError:
-            return {}
+            pass
+    found = {}
     for descriptor in descriptors:
         listening = socket.socket(fileno=descriptor)
         found[listening.getsockname()] = listening
--- a/ochrehoist/worker.py
+++ b/ochrehoist/worker.py
@@ -1,5 +1,6 @@
 """How the parts of one worker are put together, and what operators call on it."""
 
+import os
 import signal
 import socket
 import sys
@@ -55,7 +56,9 @@
         self.fronts: list[ThriftFront | AjpFront] = []
         self.tasks = [owner.run]
         takers: list[Callable[[Config], None]] = []  # parts that take a configuration read again
-        room = config.sockets - RESERVED - SERVICE * sum(a is not None for a in (config.admin, config.agent))
+        # Where the system gives fewer than the settings say, it is the system's limit that binds.
+        sockets = min([n for n in (config.sockets, os.sysconf("SC_OPEN_MAX")) if n > 0])
+        room = sockets - RESERVED - SERVICE * sum(a is not None for a in (config.admin, config.agent))
         self.kernel: Kernel | None = None
         self.journal: Any = None
 
--- /dev/null
+++ b/tests/test_crossing_links.py
@@ -0,0 +1,254 @@
+"""Two events that cross on links, lists and windows: each test forces the bad order, over real connections.
+
+A process that stands still while bytes come and times run out sees both at once when it goes on.
+"""
+
+import json
+import os
+import resource
+import signal
+import tempfile
+import threading
+import time
+
+from stand_ins import MS, PATIENCE, Kernel, Members, ProgramCase, Thrift, settings
+
+
+class SlowMembers(Members):
+    """Answers late, and counts a report only if its link is still there then."""
+
+    def __init__(self):
+        self.counted = threading.Event()
+        super().__init__()
+
+    def talk(self, sock):
+        lines = sock.makefile("rb")
+        while lines.readline():
+            while lines.readline().strip():
+                pass
+            lines.read(len(b'{"phase":"UP"}'))
+            sock.settimeout(1.2)
+            try:
+                if not sock.recv(1):
+                    return
+            except TimeoutError:
+                self.counted.set()
+            sock.settimeout(None)
+            sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+
+MOVED_WHILE_CONNECTING = """
+import os, signal, socket
+plain = socket.socket.connect_ex
+def connect_ex(sock, address):
+    code = plain(sock, address)
+    if address[1] == {port} and os.path.exists({flag!r}):
+        os.unlink({flag!r})
+        os.kill(os.getpid(), signal.SIGHUP)
+    return code
+socket.socket.connect_ex = connect_ex
+"""
+
+
+class Lists(ProgramCase):
+    def test_a_report_that_is_answered_late_counts(self):
+        slow = SlowMembers()
+        self.addCleanup(slow.close)
+        program = self.start()
+        changed = program.config | {"members": slow.address}
+        program.reload("config.json", json.dumps(changed))
+        self.assertTrue(slow.counted.wait(6.0), "no report counted")
+
+    def test_an_address_that_moves_while_its_connection_is_made_is_left(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        flag, old, new = os.path.join(folder, "moved"), Members(), Members()
+        self.addCleanup(old.close)
+        self.addCleanup(new.close)
+        port = int(old.address.split(":")[1])
+        program = self.start(fault=MOVED_WHILE_CONNECTING.format(port=port, flag=flag))
+        program.reload("config.json", json.dumps(program.config | {"members": old.address}))
+        old.wait_for("UP")
+        # The next connection is made while the signal comes, and the file names another address.
+        os.replace(program.file("new", json.dumps(program.config | {"members": new.address})),
+                   os.path.join(program.folder.name, "config.json"))
+        with open(flag, "w"):
+            pass
+        old.drop_links()
+        for _ in range(3):
+            new.wait_for("UP")
+
+    def test_idle_clients_take_no_descriptor_from_reports_health_and_the_kernel_while_the_list_is_down(self):
+        program = self.start(sockets=100)
+        program.members.wait_for("UP")
+        program.members.refuse()
+        program.members.drop_links()
+        crowd = []
+        for _ in range(300):
+            crowd.append(program.thrift())
+            crowd[-1].sock.settimeout(PATIENCE)
+            try:
+                crowd[-1].ping()
+            except (OSError, EOFError):  # it had to make room
+                pass
+        self.assertEqual(program.thrift().ping()[0], "Answer")
+        self.assertEqual(program.operator()[0], 200)
+        kernel = Kernel(before=program.kernel)
+        self.addCleanup(kernel.close)
+        program.reload("config.json", json.dumps(program.config | {"kernel": kernel.address}))
+        kernel.opened.get(timeout=PATIENCE)
+        program.members.come_back()
+        program.members.wait_for("UP")
+        router = program.thrift()
+        seqid = router.invoke(body=b"served")
+        kernel.reap(kernel.next()[0], body=b"served")
+        self.assertEqual(router.answer(seqid)[2], b"served")
+        del crowd
+
+    def test_where_the_system_gives_fewer_descriptors_than_the_settings_reports_and_routers_get_theirs(self):
+        def fewer():
+            resource.setrlimit(resource.RLIMIT_NOFILE, (60, 60))
+
+        program = self.start(sockets=400, inherits=fewer)
+        program.members.wait_for("UP")
+        program.members.refuse()
+        program.members.drop_links()
+        crowd = []
+        for _ in range(80):
+            crowd.append(Thrift(program.at["ThriftFront"]))
+            crowd[-1].send("ping", b"\x02\0\1\0\0")
+        program.members.come_back()
+        program.members.wait_for("UP")
+        program.served(program.thrift())
+        del crowd
+
+
+class KernelLink(ProgramCase):
+    def test_a_link_whose_answers_came_within_a_stall_is_not_silent(self):
+        program = self.start()
+        router, kernel = program.thrift(), program.kernel
+        seqid = router.invoke(body=b"asked")
+        rid = kernel.next()[0]
+        kernel.wait_for_questions(2)
+        kernel.silent = True  # the next question is open as the process stops
+        time.sleep(0.3)
+
+        def answered():
+            kernel.silent = False
+            kernel._say(cmd="INFO", token="g0", load=[0.5, 1.0])
+
+        program.standing_still(1.0, answered)
+        kernel.wait_for_questions(2)
+        kernel.reap(rid, body=b"answered")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"answered"))
+        self.assertEqual(program.said("the kernel's link is silent"), [])
+        self.assertTrue(kernel.opened.empty())
+
+
+    def test_an_end_that_is_told_spoilt_is_told_again_and_only_then_failed(self):
+        program = self.start()
+        router, kernel = program.thrift(), program.kernel
+        spoilt = {"payload": "not base64!"}, {"payload": None, "elapsed_ms": "soon"}
+        for change in spoilt:
+            seqid = router.invoke("filing", b"doc", token=repr(change))
+            kernel.reap(kernel.next()[0], body=b"filed", say=False)
+            kernel.say_raw(json.dumps(kernel.notices[-1] | change).encode() + b"\n")
+            self.assertEqual(router.answer(seqid), ("Answer", {}, b"filed"))
+        seqid = router.invoke("filing", b"doc", token="for good")
+        kernel.notice(cmd="REAP", req=kernel.next()[0], result="OK", elapsed_ms=20, payload="not base64!")
+        self.assertEqual(router.answer(seqid)[0], "Broken")
+        program.served(router)
+
+    def test_answers_to_questions_that_are_spoilt_now_and_then_put_no_run_in_doubt(self):
+        program = self.start()
+        router, kernel = program.thrift(), program.kernel
+        seqid = router.invoke("filing", b"doc", token="t")
+        rid = kernel.next()[0]
+        for _ in range(2):
+            kernel.wait_for_questions(2)
+            opened = kernel.opened.qsize()
+            kernel.say_raw(b'{"cmd":"INFO","token":"x","load":["a"]}\n')
+            while kernel.opened.qsize() == opened and not program.said("the kernel's notices have a gap"):
+                router.ping()
+        kernel.wait_for_questions(2)
+        kernel.reap(rid, body=b"filed")
+        self.assertEqual(router.answer(seqid)[2], b"filed")
+        self.assertEqual(program.said("the kernel's notices have a gap"), [])
+
+
+class Windows(ProgramCase):
+    """A repeat at the edge of the window, which counts from the first try's t0."""
+
+    def site(self, window):
+        site = settings()
+        site["Classes"][1]["Window"] = window * MS
+        return site
+
+    def test_no_repeat_within_a_short_window_runs_at_any_millisecond_of_its_end(self):
+        window = 400
+        program = self.start(site=self.site(window))
+        router, kernel = program.thrift(), program.kernel
+        tokens, t0 = [f"token-{n}" for n in range(30)], time.time_ns() // MS
+        for token in tokens:
+            seqid = router.invoke("filing", token.encode(), token=token, t0=str(t0))
+            kernel.reap(kernel.next()[0], body=token.encode())
+            self.assertEqual(router.answer(seqid)[2], token.encode())
+        while time.time_ns() // MS <= t0 + window + 2:
+            router.ping()
+        for after, token in ((after, token) for after in (-1, 0, 1) for token in tokens):
+            at = str(t0 + window + after)
+            made = router.invoke("filing", token.encode(), token=token, again="1", t0=at)
+            self.assertEqual(router.answer(made), ("Answer", {}, token.encode()), (token, after))
+        self.assertTrue(kernel.scheduled.empty())
+
+    def test_a_window_that_new_settings_make_longer_holds_for_what_ran_before(self):
+        program = self.start(site=self.site(300))
+        router, kernel, t0 = program.thrift(), program.kernel, time.time_ns() // MS
+        seqid = router.invoke("filing", b"doc", token="t", t0=str(t0))
+        kernel.reap(kernel.next()[0], body=b"filed")
+        router.answer(seqid)
+        program.reload("config.json", json.dumps(program.config | {"settings": self.site(10_000)}))
+        while time.time_ns() // MS <= t0 + 900:
+            router.ping()
+        again = router.invoke("filing", b"doc", token="t", again="1")
+        self.assertEqual(router.answer(again), ("Answer", {}, b"filed"))
+        self.assertTrue(kernel.scheduled.empty())
+
+
+DIES_AT_YES = """
+import os, signal
+from ochrehoist.net import link
+plain = link._read
+def read(stream, timeout):
+    line = plain(stream, timeout)
+    if line["m"] == "yes":
+        os.kill(os.getpid(), signal.SIGKILL)
+    return line
+link._read = read
+"""
+
+
+class Successor(ProgramCase):
+    def test_one_that_stands_still_for_longer_than_it_is_asked_is_still_replaced(self):
+        old = self.start()
+        old.process.send_signal(signal.SIGSTOP)
+        self.addCleanup(old.process.send_signal, signal.SIGCONT)
+        threading.Timer(3.0, old.process.send_signal, (signal.SIGCONT,)).start()
+        at = "{}:{}".format(*old.at["ThriftFront"])
+        new = self.start(before=old, kernel=old.kernel, listen=at).took_over()
+        self.assertEqual(new.operator()[0], 200)
+
+    def test_one_that_dies_as_its_state_is_taken_leaves_its_filings_counted_as_run(self):
+        old = self.start(passed=True, fault=DIES_AT_YES)
+        router = old.thrift()
+        done = router.invoke("filing", b"done", token="done")
+        old.kernel.reap(old.kernel.next()[0], body=b"filed")
+        self.assertEqual(router.answer(done)[2], b"filed")
+        router.invoke("filing", b"doc", token="running")
+        old.kernel.next()
+        new = self.start(before=old).took_over()
+        self.assertEqual(old.ended(), -signal.SIGKILL)
+        again = new.thrift()
+        self.assertEqual(again.call("filing", b"done", token="done", again="1"), ("Answer", {}, b"filed"))
+        self.assertEqual(again.call("filing", b"doc", token="running", again="1")[0], "Broken")
+        new.wait_for(lambda status: status["running"] == "0" and status["state"] == "up")
+        self.assertTrue(new.kernel.scheduled.empty())
