Force a repeat within its window after a stall between two clocks, and say what had not shown

What does run twice there: a first try that was read while the process stood still for 50 ms between the two clocks of Owner._arrived (now, then the wall clock). Its arrival, and with it the end of its window, lies 50 ms early; a repeat 40 ms within the window runs again.

--- a/tests/test_crossing_links.py
+++ b/tests/test_crossing_links.py
@@ -175,6 +175,18 @@
         self.assertEqual(program.said("the kernel's notices have a gap"), [])
 
 
+BETWEEN_CLOCKS = """
+import os, time
+plain = time.time_ns
+def time_ns():
+    if os.path.exists({flag!r}):
+        os.unlink({flag!r})
+        time.sleep(0.05)
+    return plain()
+time.time_ns = time_ns
+"""  # the process stands still between the readings of its two clocks
+
+
 class Windows(ProgramCase):
     """A repeat at the edge of the window, which counts from the first try's t0."""
 
@@ -200,6 +212,24 @@
             self.assertEqual(router.answer(made), ("Answer", {}, token.encode()), (token, after))
         self.assertTrue(kernel.scheduled.empty())
 
+    def test_no_repeat_within_the_window_runs_though_the_first_was_read_between_two_clocks(self):
+        window, flag = 600, os.path.join(self.enterContext(tempfile.TemporaryDirectory()), "stop")
+        program = self.start(site=self.site(window), fault=BETWEEN_CLOCKS.format(flag=flag))
+        router, kernel = program.thrift(), program.kernel
+        with open(flag, "w"):
+            pass
+        t0 = time.time_ns() // MS
+        seqid = router.invoke("filing", b"doc", token="t", t0=str(t0))
+        kernel.reap(kernel.next()[0], body=b"filed")
+        self.assertEqual(router.answer(seqid)[2], b"filed")
+        self.assertFalse(os.path.exists(flag))
+        while time.time_ns() // MS <= t0 + window:
+            router.ping()
+        for early in (40, 20, 10):  # all within the window
+            again = router.invoke("filing", b"doc", token="t", again="1", t0=str(t0 + window - early))
+            self.assertEqual(router.answer(again), ("Answer", {}, b"filed"), early)
+        self.assertTrue(kernel.scheduled.empty())
+
     def test_a_window_that_new_settings_make_longer_holds_for_what_ran_before(self):
         program = self.start(site=self.site(300))
         router, kernel, t0 = program.thrift(), program.kernel, time.time_ns() // MS
