--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	$(VENV)/bin/ruff check ochrehoist tests benchmarks
 
 test: lint
-	$(VENV)/bin/python -m pytest -q -n $(JOBS)
+	$(VENV)/bin/python tests/known_red.py -q -n $(JOBS)
 
 stress: build
 	RELOADS=$(RELOADS) SEED=$(SEED) $(VENV)/bin/python -m pytest -q tests/test_reload_stress.py
