Give a server that comes back one fleet's trials, not one fleet's from each worker that hears nobody

Seen: a trial of a server that was left out is thrown for by all workers, each with one chance in the fleet's size (Judge.order). At fault is Group's `fleet`: it counted only who is heard, so a worker that hears nobody took itself for the whole fleet.

Price: where workers have really died, the rest take a server back later, by as many times as the fleet was larger.

--- a/ochrehoist/peers/group.py
+++ b/ochrehoist/peers/group.py
@@ -115,7 +115,7 @@
         self.ledger = Ledger(life, terms.most_per_s)
         self.judge = Judge(terms.services, terms.most_out, seed)
         self.judge.hearsay = self.hearsay
-        self.judge.fleet = lambda: 1 + len(self.members.live())
+        self.judge.fleet = self._size
         self.shares: dict[str, Share] = {}
         self.now, self.looked = now, now
         self.seen: dict[Life, Seen] = {}
@@ -133,6 +133,13 @@
     def _others(self, terms: Terms) -> dict[str, str]:
         return {n: a for n, a in terms.addresses.items() if a != terms.address}
 
+    def _size(self) -> int:
+        """Workers that may be trying a service now. One that is not heard may only be cut off, and trying
+        too: a service that comes back must not get the whole fleet's trials from each part of it."""
+        known = self._others(self.terms).keys() | self.members.members.keys()
+        left = {n for n, m in self.members.members.items() if m.state == LEFT}
+        return 1 + len(known - left)
+
     @property
     def life(self) -> Life:
         return self.members.life
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,9 @@
 """The fleet's pure parts, each on explicit time: messages, members, rights, counts, judgements."""
 
+import math
 import unittest
+from collections import Counter
+from random import Random
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -8,6 +11,7 @@
 from ochrehoist.lab.virtual import World
 from ochrehoist.peers import assign, services, wire
 from ochrehoist.peers.counts import LIVES, Ledger
+from ochrehoist.peers.group import Group, Terms
 from ochrehoist.peers.members import ALIVE, DEAD, LEFT, Membership
 from ochrehoist.peers.rights import DRIFT, GUARD_S, WINDOW_S, Budget, Holder, Meter, Voter
 from ochrehoist.peers.wire import Entry, Evidence, Life, Message, Tally
@@ -499,3 +503,51 @@
         world.run(20.0)
         for node in nodes[:4]:
             self.assertEqual(node.group.members.members["w004"].state, DEAD)
+
+
+class ColdServer(unittest.TestCase):
+    """What comes to a server that returns is the sum of what all workers send, whoever hears whom."""
+
+    # Calls a second that one fleet gives a server it left out: ten throws, each up to three trials in a row.
+    BUDGET = 10 * services.BACK
+
+    def first_second(self, count, seed, fleet=None):
+        """Calls in the first second at a server that all left out; nobody hears anybody."""
+        at, rng = {f"w{n}": f"127.0.0.1:{9000 + n}" for n in range(count)}, Random(seed)
+        groups, open_, sent = [], [], 0
+        for name, address in at.items():
+            terms = Terms("g", address, "", {n: a for n, a in at.items() if n != name}, (), 0.1, (),
+                          ("s0", "s1", "s2"), 0.5, 3000)
+            group = Group(terms, Life(name, 1, 1), 0.0, rng.getrandbits(30))
+            if fleet is not None:
+                group.judge.fleet = fleet
+            group.judge._move(group.judge.services["s0"], "s0", "out", "gone", 0.0)
+            groups.append(group)
+        for ticket in range(1, 40_000):
+            now = ticket * 0.0002  # 200 calls a second over all, each at any worker
+            if now > services.OUT_S + 1.0:
+                break
+            for call in [c for c in open_ if c[0] <= now]:
+                open_.remove(call)
+                call[1].judge.ended(call[2], call[3], services.OK, now)
+            if ticket % 25 == 0:
+                group = rng.choice(groups)
+                group.beat(now)
+                busy = Counter(name for _, g, name, _ in open_ if g is group)
+                name = group.judge.order({s: busy[s] for s in ("s0", "s1", "s2")}, now)[0]
+                group.judge.began(name, ticket, "read", now)
+                open_.append((now + 0.04, group, name, ticket))
+                sent += name == "s0"
+        return sent
+
+    def test_workers_that_hear_nobody_try_a_server_no_more_often_than_one_fleet_does(self):
+        most = self.BUDGET + 2 * math.sqrt(self.BUDGET) + 2
+        for count in (20, 30):
+            sent = [self.first_second(count, seed) for seed in range(10)]
+            self.assertLessEqual(max(sent), most, sent)
+            self.assertGreater(min(sent), 0)  # or the server would never be taken back
+
+    def test_it_is_red_where_each_takes_itself_for_the_whole_fleet(self):
+        for seed in range(3):
+            sent = self.first_second(30, seed, fleet=lambda: 1)
+            self.assertGreater(sent, self.BUDGET + 2 * math.sqrt(self.BUDGET) + 2)
