--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -18,7 +18,7 @@
 from ochrehoist.interface import Outcome, Repeat, RequestClass, Settings
 from ochrehoist.net import ajp
 from ochrehoist.net.ajp_server import AjpPayload, read_packet
-from ochrehoist.net.listener import Listening, Pace
+from ochrehoist.net.listener import Listening, Pace, close_least
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import Closed, Stream, TimedOut
 
@@ -343,13 +343,7 @@
 
         idle = [c for c in self.connections if not c.in_hand and not (c.known and c.stream.buffer)
                 and (c.known or now - c.used_at > FRESH)]  # the first of one just accepted may be here unread
-        while idle:
-            least = min(idle, key=missed)
-            if not least.stream.look():
-                least.stream.close()
-                return True
-            idle.remove(least)  # something has come in this very moment: a close would cross it
-        return False
+        return close_least(idle, missed, lambda c: c.stream)
 
     def closed(self, connection: AjpConnection) -> None:
         self.connections.discard(connection)
--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from ochrehoist.net.loop import Loop
-from ochrehoist.net.stream import Closed, Stream, TimedOut, listen
+from ochrehoist.net.stream import BACKLOG, Closed, Stream, TimedOut, listen
 
 PAUSE = 0.05  # s without accepting when no descriptor is to be had
 
@@ -29,6 +29,18 @@
             self.loop.sleep(1 / self.rate)
 
 
+def close_least(spare: list[Any], missed: Callable[[Any], Any], stream: Callable[[Any], Stream]) -> bool:
+    """Closes the one that is missed least, but none on which something has come in this very moment; whether
+    it did."""
+    while spare:
+        least = min(spare, key=missed)
+        if stream(least).shut or not stream(least).look():
+            stream(least).close()
+            return True
+        spare.remove(least)
+    return False
+
+
 def no_room() -> bool:
     return False
 
@@ -47,7 +59,8 @@
         self.sock = listen(address) if sock is None else sock
         self.sock.setblocking(False)
         self.count, self.started = 0, False
-        self.stopping = False  # as soon as all that has connected is accepted
+        self.stopping = False  # as soon as all that has connected is accepted,
+        self.left = BACKLOG  # which is so many at the most
         self.stopped = False
 
     @property
@@ -87,6 +100,10 @@
                 continue  # the peer left before it was accepted
             self.count += 1
             self.loop.spawn(self.accepted(sock))
+            if self.stopping:
+                self.left -= 1
+                if not self.left:
+                    return self._end()
             if self.full():
                 self.make_room()
         if self.stopped:
--- a/ochrehoist/net/operators.py
+++ b/ochrehoist/net/operators.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from ochrehoist.net.listener import Service
+from ochrehoist.net.listener import Service, close_least
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import Closed, Stream, TimedOut
 
@@ -60,9 +60,7 @@
         """Ends the connection that has said least for longest, never one whose call has come whole."""
         before = time.monotonic() - YOUNG
         spare = [s for s, since in self.open.items() if s.shut or (since < before and not s.unsent)]
-        if spare:
-            min(spare, key=lambda s: (not s.shut, bool(s.buffer), self.open[s])).close()
-        return bool(spare)
+        return close_least(spare, lambda s: (not s.shut, bool(s.buffer), self.open[s]), lambda s: s)
 
     def serve(self, stream: Stream) -> None:
         only_head = False
--- a/ochrehoist/net/stream.py
+++ b/ochrehoist/net/stream.py
@@ -9,6 +9,7 @@
 
 READ = 16384  # at once: what hundreds of connections have read and not yet used must fit in memory
 MAX_UNSENT = 512 * 1024  # a peer that reads so slowly is cut off: it must not cost memory
+BACKLOG = 1024  # connections that wait to be accepted
 LINGER = 0.25  # s that a peer has to close its side once all is sent and ours is shut
 MAX_DROPPED = 256 * 1024  # of what still comes then; from there on it is not even read
 
@@ -229,7 +230,7 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         sock.bind(address)
-        sock.listen(1024)
+        sock.listen(BACKLOG)
     except BaseException:
         sock.close()
         raise
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -12,7 +12,7 @@
 from ochrehoist.core.requests import Arrived, Door, Executor, Gone, Inbound, Reason, Result
 from ochrehoist.interface import Repeat, RequestClass, Settings
 from ochrehoist.net import thrift
-from ochrehoist.net.listener import Listening, Pace
+from ochrehoist.net.listener import Listening, Pace, close_least
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import Closed, Stream, TimedOut
 
@@ -207,11 +207,6 @@
         if not self.open:
             self.stream.close_when_sent()
 
-    @property
-    def resting(self) -> bool:
-        """Whether nothing is under way on it: no request that is open, or here and not read yet."""
-        return not self.open and not self.spoilt and not self.whole()
-
     def whole(self) -> bool:
         """Whether the next frame is here."""
         buffer = self.stream.buffer
@@ -402,21 +397,14 @@
             looked = c.stream.wants_input or c.stream.buffer or c.stream.ended
             return not c.open and (not c.whole() or c.pace.left < 0) and looked and now - c.opened > FRESH
 
-        idle = [c for c in self.connections if spare(c)]
-        while idle:
-            least = min(idle, key=missed)
-            if not least.stream.look():
-                least.stream.close()
-                return True
-            idle.remove(least)  # something has come in this very moment: a close would cross it
-        return False
+        return close_least([c for c in self.connections if spare(c)], missed, lambda c: c.stream)
 
     def _sweep(self) -> None:
         """Idle connections are ended by farewell, never by a close that a request could cross."""
         now = time.monotonic()
         crowded = len(self.connections) > CROWDED * self.listening.limit
         for c in list(self.connections):
-            if c.stream.closing or c.stream.closed or not c.resting:
+            if c.open or c.spoilt or c.stream.closing or c.stream.closed or (c.stream.buffer and c.whole()):
                 continue
             # What is still sending a request is in use, though the request is not here yet.
             used_at = max(c.used_at, c.stream.heard_at) if c.stream.buffer else c.used_at
--- a/ochrehoist/worker.py
+++ b/ochrehoist/worker.py
@@ -164,6 +164,7 @@
             self.kernel.shared = lambda: bool(
                 owner.forwarder or (self.predecessor and self.predecessor.present))
         self.started = time.monotonic()
+        self.serving = False  # clients are taken
 
     def run(self) -> int:
         # SIGTERM and SIGHUP are orders to this program, whatever whoever started it does with them: nohup and
@@ -224,7 +225,8 @@
             values["recovery"] = self.recovery.view()
         if self.kernel:
             values["kernel"] = self.kernel.view()
-        return said(values, HTTPStatus.OK if o.ready else HTTPStatus.SERVICE_UNAVAILABLE)
+        ready = o.ready and self.serving
+        return said(values, HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE)
 
     def metrics(self) -> Answer:
         text = self.owner.figures.text(self.owner.current)
@@ -285,6 +287,7 @@
 
     def _serve(self) -> None:
         """No other process decides: this one takes what comes."""
+        self.serving = True
         for part in self.listeners:
             part.listening.start()
         if self.members:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -496,7 +496,8 @@
     def __init__(self, thrift=True, ajp=False, site=None, stop_ms=2500, sockets=256, secret=None, fault=None,
                  stall_log=False, boot=True, passed=False, before=None, appliance=None, inherits=None,
                  kernel=None, state=None, server=None, root=ROOT, capture=None, overload=None,
-                 peers=None, sites=None, recovery=None, name="n1", listen="127.0.0.1:0", **more):
+                 peers=None, sites=None, recovery=None, name="n1", listen="127.0.0.1:0", members=None,
+                 **more):
         """With `before`, it is started beside that program to replace it. `passed`: its socket stays here.
 
         `inherits` is called in the new process before the program, as a parent that leaves signals changed.
@@ -504,8 +505,9 @@
         """
         self.folder = before.folder if before else tempfile.TemporaryDirectory()
         self.passed = before.passed if before else socket.create_server(("127.0.0.1", 0)) if passed else None
-        self.kernel, self.members, self.server = kernel or Kernel(), Members(), server or AjpServer()
-        self.kernel.boots, self.kept = boot, (kernel, server)  # who gives them closes them
+        self.kernel, self.server = kernel or Kernel(), server or AjpServer()
+        self.members = members or Members()
+        self.kernel.boots, self.kept = boot, (kernel, server, members)  # who gives them closes them
         site, limits = site or settings(), {"memory_mb": 64, "sockets": sockets}
         env = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "OCHREHOIST_"))}
         env["TMPDIR"] = self.folder.name
--- a/tests/test_crossing_links.py
+++ b/tests/test_crossing_links.py
@@ -7,6 +7,7 @@
 import os
 import resource
 import signal
+import socket
 import tempfile
 import threading
 import time
@@ -37,6 +38,22 @@
             sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
 
 
+class CuttingMembers(Members):
+    """Cuts each other answer in its middle."""
+
+    def talk(self, sock):
+        lines = sock.makefile("rb")
+        while lines.readline():
+            while lines.readline().strip():
+                pass
+            lines.read(len(b'{"phase":"UP"}'))
+            self.reports.put(("", "UP"))
+            sock.sendall(b"HTTP/1.1 204 No Con")
+            if self.reports.qsize() % 2:
+                return sock.shutdown(socket.SHUT_RDWR)
+            sock.sendall(b"tent\r\n\r\n")
+
+
 MOVED_WHILE_CONNECTING = """
 import os, signal, socket
 plain = socket.socket.connect_ex
@@ -59,6 +76,15 @@
         program.reload("config.json", json.dumps(changed))
         self.assertTrue(slow.counted.wait(6.0), "no report counted")
 
+    def test_a_report_whose_answer_is_cut_is_made_again_at_once(self):
+        cutting = CuttingMembers()
+        self.addCleanup(cutting.close)
+        program, began = self.start(members=cutting), time.monotonic()
+        while cutting.reports.qsize() < 5:  # three of them cut
+            program.operator()
+            self.assertLess(time.monotonic() - began, 3.0)  # the entry would lapse
+        self.assertEqual(program.thrift().ping()[0], "Answer")
+
     def test_an_address_that_moves_while_its_connection_is_made_is_left(self):
         folder = self.enterContext(tempfile.TemporaryDirectory())
         flag, old, new = os.path.join(folder, "moved"), Members(), Members()
@@ -230,6 +256,19 @@
             self.assertEqual(router.answer(again), ("Answer", {}, b"filed"), early)
         self.assertTrue(kernel.scheduled.empty())
 
+    def test_a_run_that_outlasts_its_short_window_is_not_run_a_second_time_beside_it(self):
+        program = self.start(site=self.site(300))
+        router, kernel, t0 = program.thrift(), program.kernel, time.time_ns() // MS
+        first = router.invoke("filing", b"doc", token="t", t0=str(t0))
+        rid = kernel.next()[0]
+        while time.time_ns() // MS <= t0 + 600:
+            router.ping()
+        router.invoke("filing", b"doc", token="t", again="1")
+        router.invoke(body=b"beside it")
+        self.assertEqual(kernel.next()[2], b"beside it")  # there is a core, and it goes to what came later
+        kernel.reap(rid, body=b"filed")
+        self.assertEqual(router.answer(first), ("Answer", {}, b"filed"))
+
     def test_a_window_that_new_settings_make_longer_holds_for_what_ran_before(self):
         program = self.start(site=self.site(300))
         router, kernel, t0 = program.thrift(), program.kernel, time.time_ns() // MS
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,6 +14,7 @@
 from stand_ins import PATIENCE, ProgramCase, Sink, ends, settings
 
 BEGUN = struct.pack(">I", 500) + b"\x80\x01"  # of a frame whose rest does not come
+CALL = b"GET /status HTTP/1.1\r\n\r\n"
 GARBLED = b"\xff\xff\xff\xff"
 LASTS = 2.5  # s for a frame that was begun
 BUSY = """
@@ -120,6 +121,55 @@
             program.served(other)  # were the late one read, the kernel would have it first
         self.assertTrue(program.kernel.scheduled.empty())
 
+    def test_an_operators_call_that_came_as_its_place_was_wanted_is_answered(self):
+        program = self.start()
+        idle = [socket.create_connection(program.at["Operators"], timeout=PATIENCE) for _ in range(15)]
+        time.sleep(0.3)  # none of them is young
+        asked = []
+
+        def call():
+            idle[0].sendall(CALL)
+            asked.append(socket.create_connection(program.at["Operators"], timeout=PATIENCE))
+            asked[0].sendall(CALL)
+
+        program.standing_still(0.1, call)
+        for sock in (idle[0], asked[0]):
+            self.assertTrue(sock.recv(100).startswith(b"HTTP/1.1 200"))
+            sock.close()
+        for sock in idle[1:]:
+            sock.close()
+
+    def test_a_request_that_came_as_its_connection_was_to_make_room_is_answered_on_thrift(self):
+        program = self.start(sockets=64)
+        routers = [program.thrift() for _ in range(22)]  # there is room for 23
+        for router in routers:
+            program.served(router)
+        asked = []
+
+        def crossing():
+            asked.append(routers[0].invoke(body=b"crossing"))  # the one that has been idle longest
+            routers.append(program.thrift())
+
+        program.standing_still(0.1, crossing)
+        program.kernel.reap(program.kernel.next()[0], body=b"answered")
+        self.assertEqual(routers[0].answer(asked[0]), ("Answer", {}, b"answered"))
+        self.assertEqual(routers[-1].ping()[0], "Answer")
+
+    def test_a_request_that_came_as_its_connection_was_to_make_room_is_answered_on_ajp(self):
+        program = self.start(thrift=False, ajp=True, max_connections=5)
+        clients = [program.ajp() for _ in range(4)]
+        for client in clients:
+            self.assertTrue(client.cping())
+
+        def crossing():
+            clients[0].request()
+            clients.append(program.ajp())
+
+        program.standing_still(0.1, crossing)
+        program.server.next()[2](data=b"answered")
+        self.assertEqual(clients[0].answer()[2], b"answered")
+        self.assertTrue(clients[-1].cping())
+
     def test_a_process_that_ends_resets_nobody_whose_bytes_it_has_not_read(self):
         program = self.start(stop_ms=1200)
         flood = program.thrift()
@@ -186,6 +236,22 @@
         self.assertLess(time.monotonic() - began, 3.0)  # killed 2.5 s after the notice, 3.7 after its reading
         self.assertEqual(program.ended(), 0)
 
+    def test_a_connection_after_the_grace_is_refused_while_the_last_run_goes_on(self):
+        program = self.start()
+        router = program.thrift()
+        seqid = router.invoke(body=b"last")
+        rid = program.kernel.next()[0]
+        program.process.send_signal(signal.SIGTERM)
+        until = time.monotonic() + 2.0
+        with self.assertRaises(ConnectionRefusedError):
+            while time.monotonic() < until:
+                program.thrift().close()
+                time.sleep(0.02)
+        program.kernel.reap(rid, body=b"answered")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"answered"))
+        router.close()
+        self.assertEqual(program.ended(), 0)
+
     def test_a_second_notice_and_new_settings_within_the_drain_change_nothing_of_it(self):
         program = self.start()
         router = program.thrift()
