Keep counts of tenants for those active lately alone, and take their change as an event

Counts that nobody moves fall alike from 1 to 0.1, so that one number stands for all that are quiet; what a quiet one lacks is always the same, so that their part of the sum is a product; its gain is worked out when it is looked at. Starts are kept in units of a common fade. What was a tenant's quota at first stays apart, as it counted before.

TenantsChanged hands over the tenants from now on; positions stay, and no tenant is gone through.

What was learned tells tenants that are not alike, by their own key (a class and a tenant of one name took each other's counts); the form of before is taken up, too, and tells its common level by its least counts. An older program reads the new form, and begins with tenants anew. The queue was called hold in the module.

--- a/ochrehoist/capture/taker.py
+++ b/ochrehoist/capture/taker.py
@@ -73,7 +73,7 @@
         if subject is not None and not self.sample.takes(subject.encode()):
             return
         module = self.owner.controller
-        counts = (module.cores, len(module.held)) if module is not None else (0, 0)
+        counts = (module.cores, len(module.queue)) if module is not None else (0, 0)
         self.open[r.id] = r, self.owner.now, *counts
 
     def answered(self, r: Inbound, figure: str | None, backoff: int) -> None:
--- a/ochrehoist/core/filings.py
+++ b/ochrehoist/core/filings.py
@@ -30,6 +30,7 @@
     answers: Answers
     controller: Any  # None until the module is up
     kinds: dict[str, int]
+    tenants: dict[str, int]
     now: int
     log: Any
     tell: Callable[[i.Event], Any]
@@ -134,7 +135,7 @@
             return
         lesson, self.lesson = self.lesson, None
         try:
-            handover.teach(self.owner.controller, lesson, self.owner.now)
+            handover.teach(self.owner.controller, lesson, self.owner.now, self.owner.tenants)
         except Exception:  # it learns anew
             self.owner.log.exception("what was learned before can't be taken up")
 
--- a/ochrehoist/core/handover.py
+++ b/ochrehoist/core/handover.py
@@ -7,14 +7,14 @@
 import base64
 import math
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import asdict, dataclass, field, replace
 from typing import Any, Protocol
 
 from ochrehoist import interface as i
 from ochrehoist.core.keys import KeyTable, Run
 from ochrehoist.core.requests import Fingerprint, Inbound, KeyId, Reason, Result
-from ochrehoist.rules import AdmissionController
+from ochrehoist.rules import LEAST, LEFT, NO_RATE, AdmissionController
 
 VERSION = 1
 LEARNED = 1  # the layout of what `learned` tells
@@ -126,12 +126,17 @@
 
 # ---- what the module learned, by the names of classes and tenants
 def learned(c: AdmissionController) -> Line:
-    names, now = [x.name for x in (*c.s.classes, *c.s.tenants)], c.now
+    """Of tenants only those that are not alike: active lately, or with starts that still count."""
+    classes, tenants, now = c.s.classes, c.s.tenants, c.now
+    active = {at for at in (*c.asked, *c.served) if at >= len(classes)}
     return {
-        **{name: {cls.name: [t.value, t.weight] for cls, t in zip(c.s.classes, getattr(c, name), strict=True)}
+        **{name: {cls.name: [t.value, t.weight] for cls, t in zip(classes, getattr(c, name), strict=True)}
            for name in BY_CLASS},
-        "ran": {t.name: rate for t, rate in zip(c.s.tenants, c.ran, strict=True)},
-        "asked": [*zip(names, c.asked, strict=True)], "served": [*zip(names, c.served, strict=True)],
+        "ran": {tenants[at].name: rate * c.fade for at, rate in c.ran.items()}, "first": c.first,
+        "tenants": [[tenants[at - len(classes)].name, c.asked.get(at, c.alike), c.served.get(at, c.alike)]
+                    for at in active],
+        **{which: [[cls.name, getattr(c, which).get(at, c.alike)] for at, cls in enumerate(classes)]
+           for which in ("asked", "served")},
         "means": {name: [mean.value, mean.weight] for name in MEANS for mean in (getattr(c, name),)},
         "curve": [c.s.cores, c.curve.crowd, c.curve.base, c.curve.time, c.curve.done],
         "floor": c.floor, "sent": c.sent,
@@ -146,10 +151,23 @@
     return value
 
 
-def teach(c: AdmissionController, data: Line, now: int) -> None:
-    """Sets in a fresh module what another one learned; what it does not know by name stays as it is."""
-    names = [x.name for x in (*c.s.classes, *c.s.tenants)]
+def teach(c: AdmissionController, data: Line, now: int, tenants: Mapping[str, int] | None = None) -> None:
+    """Sets in a fresh module what another one learned; what it does not know by name stays as it is.
+
+    `tenants`: the positions of the module's own by name, where somebody has them.
+    """
+    known = {t.name: at for at, t in enumerate(c.s.tenants)} if tenants is None else tenants
     counts = {which: {name: _number(value) for name, value in data[which]} for which in ("asked", "served")}
+    ran = {known[name]: _number(rate) for name, rate in data["ran"].items() if name in known}
+    if "first" in data:
+        first, busy = _number(data["first"]), {
+            known[name]: (_number(asked), _number(served)) for name, asked, served in data["tenants"]
+            if name in known}
+    else:  # of an older program, which told of all: most were quiet, and alike
+        busy = {known[name]: (asked, counts["served"][name]) for name, asked in counts["asked"].items()
+                if name in known}
+        first = min((value for pair in busy.values() for value in pair), default=1.0)
+        ran = {at: rate - c.quotas[at] / c.s.fleet_size * first for at, rate in ran.items()}
     heard = {int(caller): now - int(age) for caller, age in data["heard"]}
     left = {int(caller): [int(age) for age in ages] for caller, ages in data["left"]}
     patience = {int(caller): (int(lasts), now + int(rest)) for caller, lasts, rest in data["patience"]}
@@ -164,16 +182,18 @@
               for at, cls in enumerate(c.s.classes) if cls.name in data.get(name, ())),
             *((getattr(c, name), data["means"][name]) for name in MEANS if name in data["means"])]:
         mean.value, mean.weight, mean.at = _number(value), _number(weight), now
-    c.ran = [_number(data["ran"].get(t.name, rate)) for t, rate in zip(c.s.tenants, c.ran, strict=True)]
-    for which, known in counts.items():
-        setattr(c, which, [known.get(name, old) for name, old in zip(names, getattr(c, which), strict=True)])
+    alike = max(LEAST, first)
+    for n, (which, told) in enumerate(counts.items()):
+        before = getattr(c, which)
+        setattr(c, which, {at: told.get(cls.name, before.get(at, c.alike))
+                           for at, cls in enumerate(c.s.classes)}
+                | {len(c.s.classes) + at: pair[n] for at, pair in busy.items() if pair[n] > alike})
+    c.first, c.alike = first, alike
+    c.ran = {at: rate / c.fade for at, rate in ran.items() if rate > NO_RATE}
     c.heard, c.patience = heard, patience
     c.left = {caller: deque(ages, maxlen=LEFT) for caller, ages in left.items()}
 
 
-LEFT = 12  # as many as the module keeps of each caller
-
-
 # ---- the whole state
 @dataclass
 class State:
--- a/ochrehoist/core/succession.py
+++ b/ochrehoist/core/succession.py
@@ -23,6 +23,7 @@
     filings: Filings
     controller: Any
     kinds: dict[str, int]
+    tenants: dict[str, int]
     standby: bool
     now: int
     log: Any
@@ -74,6 +75,6 @@
 def _teach(core: Core, learned: dict | None) -> None:
     try:
         if learned is not None:
-            handover.teach(core.controller, learned, core.now)
+            handover.teach(core.controller, learned, core.now, core.tenants)
     except Exception:  # it learns anew
         core.log.exception("what was learned can't be taken up")
--- a/ochrehoist/interface.py
+++ b/ochrehoist/interface.py
@@ -216,7 +216,19 @@
     heavy: int = UNLIMITED
 
 
-Event = Started | Request | Adopted | Completed | CallNeeded | CallEnded | CallerGone | Alarm | Leave | Limits
+@dataclass(slots=True)
+class TenantsChanged:
+    """The tenants are these from now on. Positions are stable: one that stays keeps its own, with its learned
+    rates; new ones stand behind; the place of one that is gone stays taken until a fresh module is made (its
+    open requests go on under it)."""
+
+    tenants: tuple[Tenant, ...]
+
+
+Event = (
+    Started | Request | Adopted | Completed | CallNeeded | CallEnded | CallerGone | Alarm | Leave | Limits
+    | TenantsChanged
+)
 
 
 # ---- actions
--- a/ochrehoist/rules.py
+++ b/ochrehoist/rules.py
@@ -6,13 +6,14 @@
 # ruff: noqa: I001
 import random
 from collections import deque
+from dataclasses import replace
 from heapq import heappop, heappush
-from math import exp
+from math import exp, inf
 
 from ochrehoist.interface import (
     NEVER_RAN, Adopted, Advice, Advise, Alarm, Below, Call, CallEnded, CallerGone, CallNeeded, Completed,
     Fail, Forget, Health, Join, Keep, KeepAlive, Leave, Limits, Outcome, Preemption, Refuse, Repeat, Request,
-    SetAlarm, SkipCall, Start, Started, Stop)
+    SetAlarm, SkipCall, Start, Started, Stop, TenantsChanged)
 
 
 S = 1_000_000_000
@@ -20,9 +21,11 @@
 QUOTA_S = 5.0  # s over which a rate is measured: arrivals, and a tenant's against its local share of quota
 REBUILD = 5 * S  # ns between rebuilds of the table
 ZERO_SHARE = 0.25  # p of H*(p), the design's default
-SHORT, AGAIN = 8, S // 200  # requests held that are ranked whole at every event; ns after which more are
-MAX_QUEUE = 32  # rows of the table; longer holds read the last row, where K is pinned
+SHORT, AGAIN = 8, S // 200  # queued requests that are ranked whole at every event; ns after which more are
+MAX_QUEUE = 32  # rows of the table; longer queues read the last row, where K is pinned
 MEMORY_S = 20.0  # s after which what was learned counts for 1/e
+FADE, LEAST = exp(-BEAT / S / MEMORY_S), 0.1  # what a beat leaves of a count; it falls no further than this
+NO_LACK, NO_RATE = (1.01 - 1.0) ** 2, 1e-6  # of one served in full; starts a second that count as none
 PRIOR_S = 10.0  # s of observation at one n that weigh as much as the seed curve
 SEED_FALL = 0.95  # share of the peak rate that the seed curve loses from the cores to the survivable crowd
 CROWD_SHARE = 0.8  # of the survivable crowd: starts are paced to a mean, returns from calls come on top
@@ -54,9 +57,8 @@
 # ---- the service rate curve mu(n), learned from healthy finishes
 class RateCurve:
     def __init__(self, cores, crowd, first_rate):
-        self.cores, self.crowd = cores, crowd
+        self.cores, self.crowd, self.base = cores, crowd, first_rate
         self.time, self.done = [0.0] * (crowd + 2), [0.0] * (crowd + 2)
-        self.base = first_rate
 
     def seed(self, n):
         return min(n / self.cores, 1 - SEED_FALL * (n - self.cores) / (self.crowd - self.cores))
@@ -95,16 +97,16 @@
     return policy
 
 
-HELD, CORE, ASKING, OUT, JOINED, TWIN, ENDED = range(7)
+QUEUED, CORE, ASKING, OUT, JOINED, TWIN, ENDED = range(7)
 
 
 class Job:
     def __init__(self, r, kind, now):
-        self.r, self.kind, self.state, self.kb = r, kind, HELD, r.memory_kb
+        self.r, self.kind, self.state, self.kb = r, kind, QUEUED, r.memory_kb
         self.ran = self.answered = self.kept = False
         self.heavy, self.size = r.times > 1, r.times  # how many times the usual cost of its class
         self.tries = self.not_before = self.called = self.reserved = 0
-        self.first, self.twins = None, []  # the held try it waits for; the repeats that wait for it
+        self.first, self.twins = None, []  # the queued try it waits for; the repeats that wait for it
         self.arrived = now - r.unread_for
         self.due = now + r.remaining if r.remaining else self.arrived + kind.deadline
         self.aim, self.counts = self.arrived + kind.aim, [r.kind]
@@ -114,9 +116,9 @@
     def __init__(self, settings, seed):
         self.s = s = settings
         self.rng, n = random.Random(seed), len(s.classes)
-        self.now = self.born = self.last = 0
-        self.jobs, self.past, self.held, self.asking = {}, {}, {}, {}
-        self.groups, self.ranked = {}, 0  # the hold by groups of like worth; when it was last ranked whole
+        self.now = self.born = self.last = self.progress = 0
+        self.jobs, self.past, self.queue, self.asking = {}, {}, {}, {}
+        self.groups, self.ranked = {}, 0  # the queue by groups of like worth; when it was last ranked whole
         self.cores, self.out, self.used, self.keys = 0, 0, 0.0, {}
         self.expiries, self.calls_over, self.call_time = [], deque(), 0  # ended calls, ns spent and reserved
         self.mean_aim = sum(c.aim for c in s.classes) / n
@@ -125,17 +127,17 @@
         self.floor, self.climb, self.policy, self.rebuilt = s.cores, 1 + s.cores // 4, None, 0
         self.stated, self.tells = [[Recent(MEMORY_S, x, 3 * x) for _ in s.classes] for x in (0.0, 1.0)]
         self.took = [Recent(TOOK_S, self.mean_aim / 4, 3.0) for _ in s.classes]  # ns from start to finish
-        self.progress, self.stalled, self.busy = 0, False, 0.0
         self.latency, self.bad_calls = Recent(CALLS_S), Recent(CALLS_S, 0.0, 10.0)
-        self.leave_at = self.stop_at = None
-        self.sent = 0.0  # requests a second
-        self.ran = [self._share(t) for t in s.tenants]  # starts a second of each, over MEMORY_S
-        self.asked, self.served = [[1.0] * (n + len(s.tenants)) for _ in "as"]  # classes, then tenants
+        self.leave_at, self.stop_at, self.sent = None, None, 0.0  # `sent`: requests a second
+        # By class, then by tenant, of those lately active: all others have come down to `alike`. A tenant's
+        # starts a second, over MEMORY_S, by `fade`; at first as if it had used its quota of then, by `first`.
+        self.asked, self.served, self.alike = {}, {}, 1.0
+        self.ran, self.quotas, self.fade, self.first = {}, [t.quota_per_s for t in s.tenants], 1.0, 1.0
         self.retries, self.turned = Recent(CROWD_S, 0.0, 10.0), Recent(CROWD_S, 0.0, 10.0)
         self.unread = Recent(UNREAD_S)  # ns that requests lately waited to be read
         self.heard = {}  # when each caller was last heard, oldest first, forgotten after HEARD_S
         self.left, self.patience = {}, {}  # by caller: ages of what it took back; how long it waits
-        self.said, self.idle, self.healthy = None, None, True
+        self.said, self.idle, self.healthy, self.stalled, self.busy = -1.0, None, True, False, 0.0
         self.limits, self.on, self.heavies = Limits(), [0] * n, 0  # told; running by class; heavy ones
         self.wanted = self.others = self.measured = 0  # what wants the cores; of it reads, checks, handshakes
 
@@ -145,14 +147,14 @@
         self.HANDLERS[type(event)](self, event)
         if self.asking:
             self._call_below()
-        if self.held:
+        if self.queue:
             self._fill()
         return self.acts
 
     def _on_started(self, event):
         self.born = self.last = self.progress = self.rebuilt = self.now
         self._rebuild()
-        self._revalue()
+        self._revalue(1.0)
         self.acts += [Health(True, True), SetAlarm(BEAT, 1)]
 
     def _pass_time(self):
@@ -162,13 +164,11 @@
             self.curve.time[min(self.cores, self.curve.crowd + 1)] += dt
         while self.calls_over and self.calls_over[0][0] <= self.now:
             self.call_time -= self.calls_over.popleft()[1]
-        self.progress += max(0, self.now - self.last - BEAT)
-        self.last = self.now
+        self.progress, self.last = self.progress + max(0, self.now - self.last - BEAT), self.now
 
     def _warmth(self):
-        s = self.s
-        share = (self.now - self.born) / max(1, s.cold) if s.just_started else 1.0
-        return max(0.01, min(1.0, s.cold_from + (1 - s.cold_from) * share))
+        share = (self.now - self.born) / max(1, self.s.cold) if self.s.just_started else 1.0
+        return max(0.01, min(1.0, self.s.cold_from + (1 - self.s.cold_from) * share))
 
     def _ceiling(self):  # the running crowd kept under, on cores and out at calls
         return int(max(1, CROWD_SHARE * self.s.cores * (1 + (self.s.tip_multiple - 1) * self._warmth())))
@@ -198,7 +198,7 @@
         if r.tenant is not None:
             j.counts.append(len(s.classes) + r.tenant)
         for at in j.counts:
-            self.asked[at] += not r.retry
+            self.asked[at] = self.asked.get(at, self.alike) + (not r.retry)
         j.aim = min(j.aim, j.due - BEAT)  # a try must end before its caller gives up, a beat before
         # A repeat is run only where the first is known never to have run: one effect, whatever callers send.
         first = self.jobs.get(r.original) or self.past.get(r.original)
@@ -206,9 +206,9 @@
             j.aim = min(j.aim, first.aim)  # of the same client, which waits since then
             if first.state == TWIN:
                 first = first.first
-            if first.state == HELD and not self._fits(j):
+            if first.state == QUEUED and not self._fits(j):
                 return self._refuse(j)
-            if first.state == HELD:
+            if first.state == QUEUED:
                 j.state, j.first = TWIN, first
                 return first.twins.append(j)
             if first.ran or first.state != ENDED:
@@ -229,8 +229,8 @@
         late = self.leave_at is not None and j.arrived > self.leave_at + self.s.drain_grace
         if self.stalled or late or not self._fits(j):
             return self._refuse(j)
-        j.state = HELD
-        self.held[j.r.id] = self.groups.setdefault(self._like(j), {})[j.r.id] = self.came = j
+        j.state = QUEUED
+        self.queue[j.r.id] = self.groups.setdefault(self._like(j), {})[j.r.id] = self.came = j
         if j.kind.repeat is Repeat.KEYED:
             self._keep(j)
 
@@ -243,43 +243,60 @@
             self._place(twins[0])
 
     def _share(self, tenant):  # requests a second that are worth in full here
-        return tenant.quota_per_s / self.s.fleet_size
+        return self.s.tenants[tenant].quota_per_s / self.s.fleet_size
 
     # What one tenant sends past its share must not crowd out others, in a burst or all day. The part of its
     # starts here that is within it. Harm: where the fleet grew since the start, the share told is too large.
     def _inside(self, j):
-        if j.r.tenant is None:
+        if (tenant := j.r.tenant) is None:
             return 1.0
-        return min(1.0, self._share(self.s.tenants[j.r.tenant]) / max(1e-9, self.ran[j.r.tenant]))
-
-    def _revalue(self):  # what the goal gains by one answer, by class and by tenant, and a tenant's worth
-        s, n = self.s, len(self.s.classes)
-        offered = max(1e-9, sum(c.worth * a for c, a in zip(s.classes, self.asked, strict=False)))
-        asked = self.asked[:n] + [min(a, max(0.1, self._share(t) * MEMORY_S))
-                                  for a, t in zip(self.asked[n:], s.tenants, strict=True)]
-        served = [v / a for v, a in zip(self.served, asked, strict=True)]
-        lack = [(1.01 - min(1.0, v)) ** 2 for v in served]
-        whole = [sum(lack[:n])] * n + [sum(lack[n:])] * len(s.tenants)
-        weak = [miss / all_of / a for miss, all_of, a in zip(lack, whole, asked, strict=True)]
-        self.gains = [(s.goal.whole + s.goal.worst_window) * c.worth / offered + s.goal.worst_class * w
-                      for c, w in zip(s.classes, weak, strict=False)]
-        self.tenants = [s.goal.worst_tenant * w for w in weak[n:]]
+        rate = self.ran.get(tenant, 0.0) * self.fade + self.quotas[tenant] / self.s.fleet_size * self.first
+        return min(1.0, self._share(tenant) / max(1e-9, rate))
+
+    def _on_tenants(self, e):
+        self.quotas += [0.0] * (len(e.tenants) - len(self.quotas))
+        self.s = replace(self.s, tenants=e.tenants)
+
+    def _lack(self, at):  # at the last beat, how little it was served of what it asked, within its share
+        if at not in self.lacks:
+            (asked, served, alike), tenant = self.then, at - len(self.s.classes)
+            most = self._share(tenant) * MEMORY_S if tenant >= 0 else inf
+            counts = min(asked.get(at, alike), max(LEAST, most))
+            self.lacks[at] = (1.01 - min(1.0, served.get(at, alike) / counts)) ** 2, counts
+        return self.lacks[at]
+
+    def _revalue(self, fade):  # what the goal gains by one answer, by class; and what all tenants lack
+        s, self.lacks, self.then = self.s, {}, (self.asked, self.served, self.alike)
+        of = [self._lack(at) for at in range(len(s.classes))]
+        active = [self._lack(at)[0] for at in {*self.asked, *self.served} if at >= len(of)]
+        self.lack = sum(active) + (len(s.tenants) - len(active)) * NO_LACK
+        whole = sum(lack for lack, _ in of)
+        offered = max(1e-9, sum(c.worth * asked for c, (_, asked) in zip(s.classes, of, strict=True)))
+        self.gains = [(s.goal.whole + s.goal.worst_window) * c.worth / offered + s.goal.worst_class
+                      * (lack / whole / asked) for c, (lack, asked) in zip(s.classes, of, strict=True)]
+        self.alike, self.fade, self.first = max(LEAST, self.alike * fade), self.fade * fade, self.first * fade
+        self.asked, self.served = ({at: v * fade for at, v in counts.items() if v * fade > self.alike}
+                                   for counts in (self.asked, self.served))
+        if self.fade < NO_RATE:
+            self.ran = {t: rate * self.fade for t, rate in self.ran.items() if rate * self.fade > NO_RATE}
+            self.fade = 1.0
 
     def _value(self, j):  # what the goal gains by each unit of expected work
-        plus = 0.0 if j.r.tenant is None else self.tenants[j.r.tenant]
-        inside = self._inside(j)
+        inside, plus = self._inside(j), 0.0
+        if j.r.tenant is not None:
+            lack, asked = self._lack(len(self.s.classes) + j.r.tenant)
+            plus = self.s.goal.worst_tenant * (lack / self.lack / asked)
         times = inside ** 2 + (1 - inside ** 2) * self.s.over_share_worth
         work = 1.0 if self.s.worth_by_work else j.r.work or self.took[j.r.kind].value
         return (self.gains[j.r.kind] + plus) * times / work
 
     def _rank(self, starts):
-        # The hold, dearest first. What cannot end in time behind the rest is told now, while its client can
-        # go elsewhere. Empty servers always try: a mean time learned in trouble could keep work away.
-        # What is turned away should cost least: it goes by groups of like worth, and a long hold is ranked
-        # whole once each AGAIN only; else what has just come is judged, and what starts now. Harm: the others
-        # are told so much later.
+        # The queue, dearest first, by groups of like worth. What cannot end in time behind the rest is told
+        # now, while its client can go elsewhere; an empty server always tries: a mean time learned in trouble
+        # could keep work away. A long queue is ranked whole once each AGAIN only; between, what has just come
+        # is judged, and what starts now. Harm: the others are told so much later.
         ranked, run, warm, n = [], S / self._rate(), self._warmth(), 0
-        whole = len(self.held) <= SHORT or self.now - self.ranked >= AGAIN
+        whole = len(self.queue) <= SHORT or self.now - self.ranked >= AGAIN
         self.ranked = self.now if whole else self.ranked
         groups = [list(group.values()) for group in self.groups.values()]
         for group in sorted(groups, key=lambda g: (self._pool(g[0]), -self._value(g[0]))):
@@ -296,7 +313,7 @@
                     ranked.append(j)
         return ranked
 
-    def _hopeless(self, j, n, starts, took, run):  # as the n-th of the hold, of which so many start now
+    def _hopeless(self, j, n, starts, took, run):  # as the n-th of the queue, of which so many start now
         need = took * self._size(j) * self._crowding(self.cores + n) if n > 1 or self.cores + self.out else 0
         idle = n <= starts and self.cores < self.s.cores  # a core takes it now, and waits for nothing else
         need = need / MARGIN if idle else need + max(0, n - starts) * run
@@ -323,14 +340,12 @@
 
     def _pool(self, j):  # by limits told from outside: 0 within its floor, 1 past it, 2 where it has to wait
         e, kind = self.limits, j.r.kind
-        if not e.caps:
-            return 1
-        if self.on[kind] >= e.caps[kind] or j.heavy and self.heavies >= e.heavy:
+        if e.caps and (self.on[kind] >= e.caps[kind] or j.heavy and self.heavies >= e.heavy):
             return 2
-        return int(j.heavy or self.on[kind] >= e.floors[kind])
+        return int(not e.caps or j.heavy or self.on[kind] >= e.floors[kind])
 
     def _release(self, j):
-        if self.held.pop(j.r.id, None) is not None:
+        if self.queue.pop(j.r.id, None) is not None:
             group = self.groups[self._like(j)]
             del group[j.r.id]
             if not group:
@@ -342,14 +357,14 @@
         if self.now - self.rebuilt >= REBUILD:
             self._rebuild()
         unread = int(self.sent * self.unread.value / S)  # they wait too, and take cores while read
-        row = self.policy[min(len(self.held) + unread, MAX_QUEUE)]
+        row = self.policy[min(len(self.queue) + unread, MAX_QUEUE)]
         # A gauge older than a run says nothing of the cores as they are: it would keep work from idle ones.
         fresh = self.now - self.measured < min(t.value for t in self.took)
         on = self.cores + (min(self.others, unread) if fresh else 0)
         starts = max(row[min(on + 1, len(row) - 1)] + 1, min(self.floor, ceiling) - on, 1 - self.cores)
-        starts = min(starts, ceiling - self.cores - self.out - len(self.asking),
-                     self.limits.total - self.cores)
-        for j in self._rank(max(0, starts))[:max(0, starts)]:
+        most = min(ceiling - self.out - len(self.asking), self.limits.total) - self.cores
+        starts = max(0, min(starts, most))
+        for j in self._rank(starts)[:starts]:
             if self._pool(j) < 2 and not self._start(j):
                 break
 
@@ -369,12 +384,11 @@
         self._move(j, CORE)
         j.ran, j.kb, self.used = True, j.kb + more, self.used + more
         self.acts.append(Start(j.r.id))
-        for t in j.twins:
-            if t.state == TWIN:
-                self._join(t)
+        for t in [t for t in j.twins if t.state == TWIN]:
+            self._join(t)
         self.turned.add(self.now, False)
         if j.r.tenant is not None:
-            self.ran[j.r.tenant] += 1 / MEMORY_S
+            self.ran[j.r.tenant] = self.ran.get(j.r.tenant, 0.0) + 1 / MEMORY_S / self.fade
         return True
 
     def _on_completed(self, e):
@@ -391,14 +405,14 @@
                 self.tells[j.r.kind].add(self.now, abs(took - usual.value) - abs(took - usual.value * j.size))
                 usual.add(self.now, took / self._size(j))
             # Idle is what a gauge said, once a beat: by one of them the floor must not climb to the top.
-            idle = self.busy < FULL_LOAD and self.wanted < self.s.cores and self.held
+            idle = self.busy < FULL_LOAD and self.wanted < self.s.cores and self.queue
             change = (self.climb > 0) if idle else -1
             self.climb -= max(0, change)
             self.floor = max(self.s.cores, min(self.curve.crowd, self.floor + change))
             self.progress = self.now
         if e.outcome is Outcome.OK and not j.answered and self.now <= j.aim:
             for at in j.counts:
-                self.served[at] += 1
+                self.served[at] = self.served.get(at, self.alike) + 1
         j.answered = True
         self._end(j)
 
@@ -427,9 +441,8 @@
     def _refuse(self, j):
         away = self.stalled or self.leave_at is not None
         self.turned.add(self.now, not away)
-        wait = self.unread.value + (len(self.held) + 1) / self._rate() * S
-        most = j.kind.aim * RETURN
-        wait = self.s.max_backoff if away else min(wait, most, self.s.max_backoff)
+        wait = self.unread.value + (len(self.queue) + 1) / self._rate() * S
+        wait = self.s.max_backoff if away else min(wait, j.kind.aim * RETURN, self.s.max_backoff)
         # Retry storm: what others refuse too is not sent around; without marks our own share turned away must
         # tell. What is over its tenant's share is worth little anywhere. Harm: where only this one is full,
         # or slow, what others had room for is lost.
@@ -449,7 +462,7 @@
 
     def _fail(self, j):
         self.acts.append(Fail(j.r.id))
-        if j.state in (HELD, JOINED, TWIN):
+        if j.state in (QUEUED, JOINED, TWIN):
             return self._drop(j)
         j.answered = True
         if j.state == CORE and self.s.preemption is not Preemption.NONE:
@@ -459,7 +472,7 @@
         j = self.jobs.get(e.id)
         if j is not None and not j.answered and e.gave_up and self.now - j.arrived > j.kind.aim * HASTE:
             self._on_left(j)
-        if j is not None and j.state in (HELD, JOINED, TWIN):
+        if j is not None and j.state in (QUEUED, JOINED, TWIN):
             self._drop(j)
         elif j is not None:
             j.answered = True
@@ -473,9 +486,7 @@
 
     def _call_below(self):
         s = self.s
-        for j in list(self.asking.values()):
-            if j.answered:
-                continue
+        for j in [j for j in self.asking.values() if not j.answered]:
             sick = self.bad_calls.value > 0.5 or self.now + self.latency.value > j.aim
             # Each call reserves its longest time and gets half of what is left of the share over its period:
             # no window holds more than the share, whatever ends the calls. For a slow-down of all, callers
@@ -507,8 +518,7 @@
         if e.outcome is Outcome.OK:
             self.latency.add(self.now, e.took)
             self.progress = self.now
-            self._move(j, CORE)
-            return
+            return self._move(j, CORE)
         self._move(j, ASKING)
         j.not_before = self.now + BEAT // 4 * 2 ** min(j.tries, 5)
         final = e.outcome not in NEVER_RAN and (j.kind.repeat is not Repeat.SAFE or j.tries > 1)
@@ -517,10 +527,9 @@
 
     def _call_over(self, j, abandoned):  # what it held of the share is given back one period later
         if self.s.below is Below.SHARED:
-            lasts = self.s.lingers if abandoned else 0
-            held = self.now + lasts - j.called
-            self.call_time += held - j.reserved
-            self.calls_over.append((self.now + lasts + self.s.calls_over, held))
+            ends = self.now + (self.s.lingers if abandoned else 0)
+            self.call_time += ends - j.called - j.reserved
+            self.calls_over.append((ends + self.s.calls_over, ends - j.called))
 
     # ---- keys and memory
     def _fits(self, j):
@@ -547,18 +556,14 @@
 
     # ---- sweep, signals and health
     def _on_alarm(self, e):
-        self.busy = e.gauges.get("cpu_busy", 1.0)
-        self.wanted = e.gauges.get("runnable", 0)
+        self.busy, self.wanted = e.gauges.get("cpu_busy", 1.0), e.gauges.get("runnable", 0)
         self.others, self.measured = int(max(0, self.wanted - self.cores)), self.now
         self.climb = 1 + self.s.cores // 4
         for j in list(self.jobs.values()):
             if j.due - BEAT <= self.now and not j.answered:
                 self._fail(j)
         self.acts.append(SetAlarm(BEAT, 1))
-        self._revalue()
-        for counts in (self.asked, self.served):
-            counts[:] = [max(0.1, v * exp(-BEAT / S / MEMORY_S)) for v in counts]
-        self.ran = [rate * exp(-BEAT / S / MEMORY_S) for rate in self.ran]
+        self._revalue(FADE)
         self.sent *= exp(-BEAT / S / QUOTA_S)
         while self.heard and self.now - next(iter(self.heard.values())) > HEARD_S * S:
             caller = next(iter(self.heard))
@@ -571,8 +576,7 @@
         # Harm: a healthy server whose every core has very long work.
         # Where runs are short, a pause of ours looks like one: what ends within two beats was none.
         limit = sum(t.value for t in self.took) / len(self.took) * (1 + STALL / max(1, self.cores))
-        limit = max(limit, 2 * BEAT)
-        self.stalled = self.cores >= self.s.cores and self.now - self.progress > limit
+        self.stalled = self.cores >= self.s.cores and self.now - self.progress > max(limit, 2 * BEAT)
         healthy = not self.stalled and self.leave_at is None
         if healthy != self.healthy:
             self.healthy = healthy
@@ -591,16 +595,13 @@
         s, rate = self.s, self._rate()
         room = rate * (TARGET * self.mean_aim - self.unread.value) / S
         value = max(room, 1.0) / max(1, len(self.heard)) if healthy else 0.0
-        if s.advice is Advice.LEVEL:
-            value = 0.0 if healthy else 1 - 1 / len(s.classes)
-        elif s.advice is Advice.WEIGHT:
-            value = float(healthy)
-        told = -1.0 if self.said is None else self.said
-        if s.advice is not Advice.NONE and abs(value - told) > 0.02 * told:
+        level = 0.0 if healthy else 1 - 1 / len(s.classes)
+        value = {Advice.LEVEL: level, Advice.WEIGHT: float(healthy)}.get(s.advice, value)
+        if s.advice is not Advice.NONE and abs(value - self.said) > 0.02 * self.said:
             self.said = value
             self.acts.append(Advise(value))
 
     HANDLERS = {
         Started: _on_started, Request: _on_request, Adopted: _on_adopted, Completed: _on_completed,
         CallNeeded: _on_call_needed, CallEnded: _on_call_ended, CallerGone: _on_gone, Alarm: _on_alarm,
-        Leave: _on_leave, Limits: lambda self, e: setattr(self, "limits", e)}
+        Leave: _on_leave, Limits: lambda self, e: setattr(self, "limits", e), TenantsChanged: _on_tenants}
--- a/ochrehoist/store/ageing.py
+++ b/ochrehoist/store/ageing.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ochrehoist.core.handover import BY_CLASS
+from ochrehoist.rules import LEAST
 
 SECOND = 1_000_000_000
 # What times and rates of before a restart weigh at the most: cores may be cold now, and what a warm machine
@@ -56,7 +57,11 @@
                     for name, (value, weight) in learned["means"].items()}
     out["ran"] = {name: rate * fade for name, rate in learned["ran"].items()}
     for which in ("asked", "served"):
-        out[which] = [[name, max(0.1, count * fade)] for name, count in learned[which]]
+        out[which] = [[name, max(LEAST, count * fade)] for name, count in learned[which]]
+    if "first" in learned:  # else of an older program, with all tenants among the others
+        out["first"] = learned["first"] * fade
+        out["tenants"] = [[name, max(LEAST, asked * fade), max(LEAST, served * fade)]
+                          for name, asked, served in learned["tenants"]]
     out["heard"] = [[caller, age + gone] for caller, age in learned["heard"] if age + gone < PATIENCE_LASTS]
     known = {caller for caller, _ in out["heard"]}
     out["left"] = [[caller, ages] for caller, ages in learned["left"] if caller in known]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -86,7 +86,7 @@
     d = Driver(**changes)
     for _ in range(9):
         d.request(kind=WRITE)
-    return d, next(x for x in d.controller.held)
+    return d, next(x for x in d.controller.queue)
 
 
 def test_a_repeat_of_a_held_request_waits_and_joins_it_when_it_starts():
@@ -110,7 +110,7 @@
     kept = [a.id for a in d.said(i.Keep)]
     assert kept.index(again) > kept.index(held) and held in d.ids(i.Forget)
     d.run_for(4 * S)
-    assert not d.controller.held
+    assert not d.controller.queue
 
 
 def test_repeats_that_wait_for_a_held_one_are_answered_at_once_when_it_is_given_up():
--- a/tests/test_rush.py
+++ b/tests/test_rush.py
@@ -31,7 +31,7 @@
             d.now += 10 * MS
             d.done(job, took=5 * MS)
         self.assertEqual(d.controller.cores, 4)
-        self.assertTrue(d.controller.held)
+        self.assertTrue(d.controller.queue)
 
     def test_one_gauge_lets_the_running_floor_climb_a_little_only(self):
         d = learned(cores=8)
@@ -66,7 +66,7 @@
         d.controller._hopeless = lambda *args: asked.append(1) or plain(*args)
         for _ in range(100):
             d.request()
-        held, before = len(d.controller.held), len(asked)
+        held, before = len(d.controller.queue), len(asked)
         self.assertGreater(held, 20)
         for _ in range(100):
             d.request()
