Let counts of tenants decay when looked at, and go through those that lack answers alone

Need: a beat went through all tenants active lately. With 8,000 of them, as 170 requests a second over 58,000 tenants alike would make it, that took 7.3 ms. A tenant that was served all it asked lacks the same until it asks again, whatever falls: so its counts decay when they are looked at, and only those that lack answers are gone through and make up the sum. What nobody looked at for 300 s is forgotten: it counted for exp(-15). What another module learned is valued at once, no longer from the next beat on.

--- a/benchmarks/same_decisions.py
+++ b/benchmarks/same_decisions.py
@@ -6,6 +6,10 @@
 history ends, and the difference is told. Quotas change in the middle: `--changes beat` right before a beat,
 as the earlier version looks at them once a beat; `--changes any` at any moment. Both modules have tenants
 whose quotas follow by themselves, or the later one is told of each change.
+
+Counts that decay when they are looked at differ in their last bits from those that decay at each beat. Where
+two requests are worth the same to the last bit, that decides between them: with `--digits 12` both modules
+rank by so many digits, and what still differs is no rounding.
 """
 
 import argparse
@@ -238,6 +242,13 @@
             self.tell(i.TenantsChanged(tenants), i.CallerGone("nobody"))  # any event looks at the queue
 
 
+def rounded(module: ModuleType, digits: int) -> ModuleType:
+    """The module, with values of so many digits in its ranking."""
+    exact = module.AdmissionController._value
+    module.AdmissionController._value = lambda self, j: float(f"{exact(self, j):.{digits - 1}e}")
+    return module
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("revision")
@@ -246,11 +257,15 @@
     parser.add_argument("--tenants", type=int, default=0, help="0: 1 to 6")
     parser.add_argument("--changes", choices=("none", "beat", "any"), default="beat")
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--digits", type=int, default=0, help="0: all")
     args = parser.parse_args()
     seen: Counter = Counter()
     began = time.process_time()
     with versions(args.revision) as ((_, tree), _):
         before = rules_of(tree)
+        if args.digits:
+            rounded(before, args.digits)
+            rounded(rules, args.digits)
         for seed in range(args.seed, args.seed + args.histories):
             tenants = args.tenants or 1 + seed % 6
             history = History(before, seed, tenants, args.changes, args.seconds)
--- a/ochrehoist/core/handover.py
+++ b/ochrehoist/core/handover.py
@@ -14,9 +14,10 @@
 from ochrehoist import interface as i
 from ochrehoist.core.keys import KeyTable, Run
 from ochrehoist.core.requests import Fingerprint, Inbound, KeyId, Reason, Result
-from ochrehoist.rules import LEAST, LEFT, NO_RATE, AdmissionController
+from ochrehoist.rules import FADE, LEAST, LEFT, AdmissionController
 
 VERSION = 1
+NO_RATE = 1e-6  # starts a second of a tenant that are not worth telling
 LEARNED = 1  # the layout of what `learned` tells
 MEANS = ("latency", "bad_calls", "retries", "turned", "unread")
 Line = dict[str, Any]
@@ -126,13 +127,15 @@
 
 # ---- what the module learned, by the names of classes and tenants
 def learned(c: AdmissionController) -> Line:
-    """Of tenants only those that are not alike: active lately, or with starts that still count."""
+    """Of tenants only those active lately: all others have come down alike, by so many beats."""
     classes, tenants, now = c.s.classes, c.s.tenants, c.now
+    busy = {tenants[at].name: known.after(c.beats - known.at) for at, known in c.known.items()}
     return {
         **{name: {cls.name: [t.value, t.weight] for cls, t in zip(classes, getattr(c, name), strict=True)}
            for name in BY_CLASS},
-        "ran": {tenants[at].name: rate * c.fade for at, rate in c.ran.items()}, "first": c.first,
-        "tenants": [[tenants[at].name, known.asked, known.served] for at, known in c.active.items()],
+        "ran": {name: ran for name, (_, _, ran) in busy.items() if ran > NO_RATE}, "beats": c.beats,
+        "tenants": [[name, asked, served] for name, (asked, served, _) in busy.items()
+                    if asked > LEAST or served > LEAST],
         **{which: [[cls.name, getattr(known, which)] for cls, known in zip(classes, c.kinds, strict=True)]
            for which in ("asked", "served")},
         "means": {name: [mean.value, mean.weight] for name in MEANS for mean in (getattr(c, name),)},
@@ -150,22 +153,25 @@
 
 
 def teach(c: AdmissionController, data: Line, now: int, tenants: Mapping[str, int] | None = None) -> None:
-    """Sets in a fresh module what another one learned; what it does not know by name stays as it is.
+    """Sets in a fresh module what another one learned.
 
-    `tenants`: the positions of the module's own by name, where somebody has them.
+    Classes that it does not know by name stay as they are, tenants are taken for quiet ones. `tenants`: the
+    positions of the module's own by name, where somebody has them.
     """
     known = {t.name: at for at, t in enumerate(c.s.tenants)} if tenants is None else tenants
     counts = {which: {name: _number(value) for name, value in data[which]} for which in ("asked", "served")}
     ran = {known[name]: _number(rate) for name, rate in data["ran"].items() if name in known}
-    if "first" in data:
-        first, busy = _number(data["first"]), {
+    if "beats" in data:
+        beats, busy = int(data["beats"]), {
             known[name]: (_number(asked), _number(served)) for name, asked, served in data["tenants"]
             if name in known}
     else:  # of an older program, which told of all: most were quiet, and alike
         busy = {known[name]: (asked, counts["served"][name]) for name, asked in counts["asked"].items()
                 if name in known}
-        first = min((value for pair in busy.values() for value in pair), default=1.0)
-        ran = {at: rate - c.quotas[at] / c.s.fleet_size * first for at, rate in ran.items()}
+        alike = max(LEAST, min((value for pair in busy.values() for value in pair), default=1.0))
+        beats = round(math.log(alike) / math.log(FADE))
+        busy = {at: pair for at, pair in busy.items() if max(pair) > alike}
+        ran = {at: rate for at, rate in ran.items() if at in busy or rate > c.quotas[at] / c.s.fleet_size}
     heard = {int(caller): now - int(age) for caller, age in data["heard"]}
     left = {int(caller): [int(age) for age in ages] for caller, ages in data["left"]}
     patience = {int(caller): (int(lasts), now + int(rest)) for caller, lasts, rest in data["patience"]}
@@ -180,15 +186,18 @@
               for at, cls in enumerate(c.s.classes) if cls.name in data.get(name, ())),
             *((getattr(c, name), data["means"][name]) for name in MEANS if name in data["means"])]:
         mean.value, mean.weight, mean.at = _number(value), _number(weight), now
+    # As of the beat before the one that they are valued by now: all of it counts at once.
+    c.known, c.beats = {}, max(1, beats)
     for cls, of_class in zip(c.s.classes, c.kinds, strict=True):
+        of_class.at = c.beats - 1
         of_class.asked = counts["asked"].get(cls.name, of_class.asked)
         of_class.served = counts["served"].get(cls.name, of_class.served)
-    c.active, c.first, c.alike = {}, first, max(LEAST, first)
-    for at, pair in busy.items():
-        if max(pair) > c.alike:
-            of_tenant = c.activity(at)
-            of_tenant.asked, of_tenant.served = pair
-    c.ran = {at: rate / c.fade for at, rate in ran.items() if rate > NO_RATE}
+    for at in busy.keys() | ran.keys():
+        of_tenant = c.activity(at)
+        of_tenant.asked, of_tenant.served = busy.get(at, (of_tenant.asked, of_tenant.served))
+        of_tenant.ran, of_tenant.at = ran.get(at, of_tenant.ran), c.beats - 1
+    c.lacking = set(busy)
+    c.revalue()
     c.heard, c.patience = heard, patience
     c.left = {caller: deque(ages, maxlen=LEFT) for caller, ages in left.items()}
 
--- a/ochrehoist/rules.py
+++ b/ochrehoist/rules.py
@@ -25,7 +25,7 @@
 MAX_QUEUE = 32  # rows of the table; longer queues read the last row, where K is pinned
 MEMORY_S = 20.0  # s after which what was learned counts for 1/e
 FADE, LEAST = exp(-BEAT / S / MEMORY_S), 0.1  # what a beat leaves of a count; it falls no further than this
-NO_LACK, NO_RATE = (1.01 - 1.0) ** 2, 1e-6  # of one served in full; starts a second that count as none
+NO_LACK, FORGET = (1.01 - 1.0) ** 2, 3000  # of one served in full; beats after which nobody's counts matter
 PRIOR_S = 10.0  # s of observation at one n that weigh as much as the seed curve
 SEED_FALL = 0.95  # share of the peak rate that the seed curve loses from the cores to the survivable crowd
 CROWD_SHARE = 0.8  # of the survivable crowd: starts are paced to a mean, returns from calls come on top
@@ -65,8 +65,7 @@
 
     def decay(self, seconds):
         keep = exp(-seconds / MEMORY_S)
-        self.time = [t * keep for t in self.time]
-        self.done = [d * keep for d in self.done]
+        self.time, self.done = [t * keep for t in self.time], [d * keep for d in self.done]
         offered = sum(t * self.seed(n) for n, t in enumerate(self.time))
         self.base = (sum(self.done) + self.base) / (offered + 1)
 
@@ -100,18 +99,24 @@
 QUEUED, CORE, ASKING, OUT, JOINED, TWIN, ENDED = range(7)
 
 
-class Activity:  # lately, of a class or a tenant; at the last beat, what it might ask, and lacked of that
-    __slots__ = "asked", "served", "may_ask", "lack"
+class Activity:  # of a class or a tenant: counts; and as of the last beat, what it might ask and lacked of it
+    __slots__ = "asked", "served", "ran", "at", "may_ask", "lack"
 
-    def __init__(self, count):
-        self.asked = self.served = count
+    def __init__(self, ran, may_ask):
+        self.asked = self.served = 1.0
+        self.ran, self.at, self.may_ask, self.lack = ran, 0, may_ask, NO_LACK
 
-    def beat(self, most, fade):  # no min or max: with thousands active that is half of the time
-        asked, served = self.asked, self.served
-        self.may_ask = most = asked if asked <= most else most if most > LEAST else LEAST
-        self.lack = (1.01 - served / most) ** 2 if served < most else NO_LACK
-        self.asked = asked * fade if asked * fade > LEAST else LEAST
-        self.served = served * fade if served * fade > LEAST else LEAST
+    def after(self, beats):  # no max here and below: with thousands active that is half of the time
+        left = FADE ** beats
+        asked, served = self.asked * left, self.served * left
+        return asked if asked > LEAST else LEAST, served if served > LEAST else LEAST, self.ran * left
+
+    def beat(self, number, most):  # brings it up to this one, however many it has not been looked at
+        if number > self.at:
+            asked, served, _ = self.after(number - 1 - self.at)
+            self.may_ask = most = asked if asked <= most else most if most > LEAST else LEAST
+            self.lack = (1.01 - served / most) ** 2 if served < most else NO_LACK
+            (self.asked, self.served, self.ran), self.at = self.after(number - self.at), number
 
 
 class Job:
@@ -147,10 +152,10 @@
         self.took = [Recent(TOOK_S, self.mean_aim / 4, 3.0) for _ in s.classes]  # ns from start to finish
         self.latency, self.bad_calls = Recent(CALLS_S), Recent(CALLS_S, 0.0, 10.0)
         self.leave_at, self.stop_at, self.sent = None, None, 0.0  # `sent`: requests a second
-        # Of tenants only those active lately: the counts of all others have come down to `alike`. A tenant's
-        # starts a second, over MEMORY_S, by `fade`; at first as if it had used its quota of then, by `first`.
-        self.kinds, self.active, self.alike = [Activity(1.0) for _ in s.classes], {}, 1.0
-        self.ran, self.quotas, self.fade, self.first = {}, [t.quota_per_s for t in s.tenants], 1.0, 1.0
+        # Of tenants those known are that were active lately, and those lacking were not served in full. Each
+        # begins as if it had used its quota of the start.
+        self.kinds, self.quotas = [Activity(0.0, 1.0) for _ in s.classes], [t.quota_per_s for t in s.tenants]
+        self.known, self.lacking, self.beats = {}, set(), 0
         self.retries, self.turned = Recent(CROWD_S, 0.0, 10.0), Recent(CROWD_S, 0.0, 10.0)
         self.unread = Recent(UNREAD_S)  # ns that requests lately waited to be read
         self.heard = {}  # when each caller was last heard, oldest first, forgotten after HEARD_S
@@ -172,14 +177,13 @@
     def _on_started(self, event):
         self.born = self.last = self.progress = self.rebuilt = self.now
         self._rebuild()
-        self._revalue(1.0)
+        self.revalue()
         self.acts += [Health(True, True), SetAlarm(BEAT, 1)]
 
     def _pass_time(self):
         # The beat rings at least so often; a longer gap is a pause of the whole process, not time at work.
-        dt = min(self.now - self.last, BEAT) / S
         if self.cores and not self.stalled and self._warmth() >= 1:
-            self.curve.time[min(self.cores, self.curve.crowd + 1)] += dt
+            self.curve.time[min(self.cores, self.curve.crowd + 1)] += min(self.now - self.last, BEAT) / S
         while self.calls_over and self.calls_over[0][0] <= self.now:
             self.call_time -= self.calls_over.popleft()[1]
         self.progress, self.last = self.progress + max(0, self.now - self.last - BEAT), self.now
@@ -206,15 +210,15 @@
         if r.work:
             self.stated[r.kind].add(self.now, r.work)
             j.size = max(SMALL, min(LARGE, r.work / self.stated[r.kind].value))
-        self.used += j.kb
+        self.used, self.sent = self.used + j.kb, self.sent + 1 / QUOTA_S
         self.retries.add(self.now, r.retry)
         self.unread.add(self.now, r.unread_for)
         self.heard.pop(r.caller, None)
         self.heard[r.caller] = self.now
-        self.sent += 1 / QUOTA_S
         self.kinds[r.kind].asked += not r.retry
         if r.tenant is not None:
             j.tenant = r.tenant
+            self.lacking.add(r.tenant)
             self.activity(r.tenant).asked += not r.retry
         j.aim = min(j.aim, j.due - BEAT)  # a try must end before its caller gives up, a beat before
         # A repeat is run only where the first is known never to have run: one effect, whatever callers send.
@@ -262,46 +266,41 @@
     # What one tenant sends past its share must not crowd out others, in a burst or all day. The part of its
     # starts here that is within it. Harm: where the fleet grew since the start, the share told is too large.
     def _inside(self, tenant):
-        if tenant is None:
-            return 1.0
-        size, ran = self.s.fleet_size, self.ran[tenant] * self.fade if tenant in self.ran else 0.0
-        share, rate = self.s.tenants[tenant].quota_per_s / size, ran + self.quotas[tenant] / size * self.first
+        share, rate = self.s.tenants[tenant].quota_per_s / self.s.fleet_size, self.activity(tenant).ran
         return 1.0 if share >= (rate := rate if rate > 1e-9 else 1e-9) else share / rate
 
     def _on_tenants(self, e):
         self.quotas += [0.0] * (len(e.tenants) - len(self.quotas))
         self.s = replace(self.s, tenants=e.tenants)
 
-    def activity(self, tenant):  # of a quiet one, as it would be if it had been gone through at the last beat
-        if tenant not in self.active:
-            known = self.active[tenant] = Activity(self.quiet)
-            known.beat(self.s.tenants[tenant].quota_per_s / self.s.fleet_size * MEMORY_S, 1.0)
-            known.asked = known.served = self.alike
-        return self.active[tenant]
-
-    def _revalue(self, fade):  # what the goal gains by one answer, by class; and what all tenants lack
-        s, kinds, active = self.s, self.kinds, self.active
+    def activity(self, tenant):
+        known = self.known.get(tenant)
+        if known is None or known.at < self.beats:
+            size, most = self.s.fleet_size, self.s.tenants[tenant].quota_per_s / self.s.fleet_size * MEMORY_S
+            known = known or Activity(self.quotas[tenant] / size, min(1.0, max(LEAST, most)))
+            known.beat(self.beats, most)
+            self.known[tenant] = known
+        return known
+
+    def revalue(self):  # by class, and what tenants lack: those served in full, the same till they ask again
+        s, kinds, lacking = self.s, self.kinds, {tenant: self.activity(tenant) for tenant in self.lacking}
+        self.lack = sum(k.lack for k in lacking.values()) + (len(s.tenants) - len(lacking)) * NO_LACK
+        self.lacking = {tenant for tenant, k in lacking.items() if k.served < k.asked}
         for known in kinds:
-            known.beat(inf, fade)
-        for tenant, known in active.items():
-            known.beat(s.tenants[tenant].quota_per_s / s.fleet_size * MEMORY_S, fade)
-        self.lack = sum(k.lack for k in active.values()) + (len(s.tenants) - len(active)) * NO_LACK
+            known.beat(self.beats, inf)
         whole = sum(k.lack for k in kinds)
         offered = max(1e-9, sum(c.worth * k.may_ask for c, k in zip(s.classes, kinds, strict=True)))
         self.gains = [(s.goal.whole + s.goal.worst_window) * c.worth / offered + s.goal.worst_class
                       * (k.lack / whole / k.may_ask) for c, k in zip(s.classes, kinds, strict=True)]
-        self.quiet, self.alike = self.alike, max(LEAST, self.alike * fade)
-        self.active = {t: k for t, k in active.items() if k.asked > self.alike or k.served > self.alike}
-        self.first, self.fade, all_of = self.first * fade, self.fade * fade, self.fade * fade
-        if all_of < NO_RATE:
-            self.ran, self.fade = {t: r * all_of for t, r in self.ran.items() if r * all_of > NO_RATE}, 1.0
+        if not self.beats % FORGET:
+            self.known = {t: known for t, known in self.known.items() if self.beats - known.at < FORGET}
 
     def _value(self, j):  # what the goal gains by each unit of expected work
-        tenant, plus, inside = j.r.tenant, 0.0, self._inside(j.r.tenant)
+        tenant, plus, times = j.r.tenant, 0.0, 1.0
         if tenant is not None:
-            known = self.active[tenant] if tenant in self.active else self.activity(tenant)
+            known, inside = self.activity(tenant), self._inside(tenant)
             plus = self.s.goal.worst_tenant * (known.lack / self.lack / known.may_ask)
-        times = 1.0 if inside == 1 else inside ** 2 + (1 - inside ** 2) * self.s.over_share_worth
+            times = 1.0 if inside == 1 else inside ** 2 + (1 - inside ** 2) * self.s.over_share_worth
         work = 1.0 if self.s.worth_by_work else j.r.work or self.took[j.r.kind].value
         return (self.gains[j.r.kind] + plus) * times / work
 
@@ -402,7 +401,7 @@
             self._join(t)
         self.turned.add(self.now, False)
         if j.r.tenant is not None:
-            self.ran[j.r.tenant] = self.ran.get(j.r.tenant, 0.0) + 1 / MEMORY_S / self.fade
+            self.activity(j.r.tenant).ran += 1 / MEMORY_S
         return True
 
     def _on_completed(self, j, e):
@@ -459,7 +458,8 @@
         # tell. What is over its tenant's share is worth little anywhere. Harm: where only this one is full,
         # or slow, what others had room for is lost.
         full = 2 * (self.retries.value if self.s.marks_retry else self.turned.value)
-        stay = not away and (j.r.retry or self._inside(j.r.tenant) < 0.5 or self.rng.random() < full)
+        over = j.r.tenant is not None and self._inside(j.r.tenant) < 0.5
+        stay = not away and (j.r.retry or over or self.rng.random() < full)
         self.acts.append(Refuse(j.r.id, int(wait), stay))
         self._drop(j)
 
@@ -571,7 +571,8 @@
             if j.due - BEAT <= self.now and not j.answered:
                 self._fail(j)
         self.acts.append(SetAlarm(BEAT, 1))
-        self._revalue(FADE)
+        self.beats += 1
+        self.revalue()
         self.sent *= exp(-BEAT / S / QUOTA_S)
         while self.heard and self.now - next(iter(self.heard.values())) > HEARD_S * S:
             caller = next(iter(self.heard))
--- a/ochrehoist/store/ageing.py
+++ b/ochrehoist/store/ageing.py
@@ -1,16 +1,18 @@
 """How long what is on record still holds, whatever was done to the clock meanwhile. No I/O."""
 
+import math
 from typing import Any
 
 import msgspec
 
 from ochrehoist.core.handover import BY_CLASS
-from ochrehoist.rules import LEAST
+from ochrehoist.rules import FADE, LEAST
 
 SECOND = 1_000_000_000
 # What times and rates of before a restart weigh at the most: cores may be cold now, and what a warm machine
 # taught lets in what a cold one cannot do. A few own results correct it.
 FEW, FEW_S = 3.0, 2.0  # results; seconds of the service rate curve
+FORGOTTEN = 1e-6  # what is left of counts that is no longer told from nothing
 PATIENCE_LASTS = 10 * SECOND  # how long the module itself keeps what it learned of a caller
 
 
@@ -58,8 +60,8 @@
     out["ran"] = {name: rate * fade for name, rate in learned["ran"].items()}
     for which in ("asked", "served"):
         out[which] = [[name, max(LEAST, count * fade)] for name, count in learned[which]]
-    if "first" in learned:  # else of an older program, with all tenants among the others
-        out["first"] = learned["first"] * fade
+    if "beats" in learned:  # else of an older program, with all tenants among the others
+        out["beats"] = learned["beats"] + round(math.log(max(fade, FORGOTTEN)) / math.log(FADE))
         out["tenants"] = [[name, max(LEAST, asked * fade), max(LEAST, served * fade)]
                           for name, asked, served in learned["tenants"]]
     out["heard"] = [[caller, age + gone] for caller, age in learned["heard"] if age + gone < PATIENCE_LASTS]
