--- a/benchmarks/beat.py
+++ b/benchmarks/beat.py
@@ -5,7 +5,8 @@
 Both run in one process, by turns. A beat is timed alone, in processor time of the thread (us). A request is
 its arrival and its end together, in short rounds in which each goes first every other time: the median of the
 rounds, and of the ratio within each. Memory is what the module takes beyond its settings, as tracemalloc
-counts it. `active` tenants have asked before, the others never.
+counts it. `active` tenants have asked before and were served, at `lacking` ones it failed; the others never
+asked.
 """
 
 import argparse
@@ -24,7 +25,17 @@
 from ochrehoist import rules
 
 MS, S = 1_000_000, 1_000_000_000
-SIZES = ((3, 0), (3, 3), (100, 0), (1000, 0), (10_000, 0), (58_000, 0), (58_000, 2000), (58_000, 8000))
+SIZES = (  # tenants, active, and whether these lack answers
+    (3, 0, False),
+    (3, 3, False),
+    (100, 0, False),
+    (1000, 0, False),
+    (10_000, 0, False),
+    (58_000, 0, False),
+    (58_000, 2000, False),
+    (58_000, 2000, True),
+    (58_000, 8000, False),
+)
 CALM, BUSY = 0, 24  # requests that wait while others are measured
 BLOCKS = 4  # of beats, by turns: a version's own caches, as in a process of its own
 
@@ -53,7 +64,7 @@
 class Module:
     """One version at one size, with its own clock."""
 
-    def __init__(self, code: ModuleType, tenants: int, active: int) -> None:
+    def __init__(self, code: ModuleType, tenants: int, active: int, lacking: bool = False) -> None:
         told = settings(tenants)
         tracemalloc.start()
         before = tracemalloc.get_traced_memory()[0]
@@ -65,6 +76,7 @@
         self.running: list[str] = []
         self.born_kb = (tracemalloc.get_traced_memory()[0] - before) / 1000
         tracemalloc.stop()
+        self.outcome = i.Outcome.FAILED if lacking else i.Outcome.OK
         for tenant in self.active:
             self.request(tenant)
         self.beats: list[int] = []
@@ -81,7 +93,7 @@
                 self.running.append(a.id)
         self.now += 1
         if self.running and len(self.controller.jobs) > self.depth:
-            acts = self.tell(i.Completed(self.running.pop(0), i.Outcome.OK, 20 * MS))
+            acts = self.tell(i.Completed(self.running.pop(0), self.outcome, 20 * MS))
             self.running += [a.id for a in acts if isinstance(a, i.Start)]
 
     depth = 0  # requests that stay open behind the one that comes
@@ -106,9 +118,9 @@
         return (time.thread_time_ns() - began) / count / 1000
 
 
-def row(codes: dict[str, ModuleType], tenants: int, active: int, scale: float) -> dict[str, Any]:
-    out: dict[str, Any] = {"tenants": tenants, "active": active}
-    modules = {name: Module(code, tenants, active) for name, code in codes.items()}
+def row(codes: dict[str, ModuleType], tenants: int, active: int, lacking: bool, scale: float) -> dict:
+    out: dict[str, Any] = {"tenants": tenants, "active": active, "lacking": lacking}
+    modules = {name: Module(code, tenants, active, lacking) for name, code in codes.items()}
     for _ in range(BLOCKS):
         for name, module in modules.items():
             module.beat()  # after the other version's block it finds nothing in the caches: not counted
@@ -142,8 +154,8 @@
     args = parser.parse_args()
     with versions(args.revision) as ((_, tree), _):
         codes = {"before": rules_of(tree), "now": rules}
-        for tenants, active in SIZES:
-            print(json.dumps(row(codes, tenants, active, args.scale)), flush=True)
+        for size in SIZES:
+            print(json.dumps(row(codes, *size, args.scale)), flush=True)
     print(json.dumps({"load": os.getloadavg()}))
 
 
--- a/ochrehoist/rules.py
+++ b/ochrehoist/rules.py
@@ -112,8 +112,8 @@
         return asked if asked > LEAST else LEAST, served if served > LEAST else LEAST, self.ran * left
 
     def beat(self, number, most):  # brings it up to this one, however many it has not been looked at
-        if number > self.at:
-            asked, served, _ = self.after(number - 1 - self.at)
+        if (last := number - 1) >= self.at:
+            asked, served, _ = self.after(last - self.at) if last > self.at else (self.asked, self.served, 0)
             self.may_ask = most = asked if asked <= most else most if most > LEAST else LEAST
             self.lack = (1.01 - served / most) ** 2 if served < most else NO_LACK
             (self.asked, self.served, self.ran), self.at = self.after(number - self.at), number
@@ -265,9 +265,9 @@
 
     # What one tenant sends past its share must not crowd out others, in a burst or all day. The part of its
     # starts here that is within it. Harm: where the fleet grew since the start, the share told is too large.
-    def _inside(self, tenant):
-        share, rate = self.s.tenants[tenant].quota_per_s / self.s.fleet_size, self.activity(tenant).ran
-        return 1.0 if share >= (rate := rate if rate > 1e-9 else 1e-9) else share / rate
+    def _inside(self, tenant, ran):
+        share, rate = self.s.tenants[tenant].quota_per_s / self.s.fleet_size, ran if ran > 1e-9 else 1e-9
+        return 1.0 if share >= rate else share / rate
 
     def _on_tenants(self, e):
         self.quotas += [0.0] * (len(e.tenants) - len(self.quotas))
@@ -298,7 +298,7 @@
     def _value(self, j):  # what the goal gains by each unit of expected work
         tenant, plus, times = j.r.tenant, 0.0, 1.0
         if tenant is not None:
-            known, inside = self.activity(tenant), self._inside(tenant)
+            inside = self._inside(tenant, (known := self.activity(tenant)).ran)
             plus = self.s.goal.worst_tenant * (known.lack / self.lack / known.may_ask)
             times = 1.0 if inside == 1 else inside ** 2 + (1 - inside ** 2) * self.s.over_share_worth
         work = 1.0 if self.s.worth_by_work else j.r.work or self.took[j.r.kind].value
@@ -458,7 +458,7 @@
         # tell. What is over its tenant's share is worth little anywhere. Harm: where only this one is full,
         # or slow, what others had room for is lost.
         full = 2 * (self.retries.value if self.s.marks_retry else self.turned.value)
-        over = j.r.tenant is not None and self._inside(j.r.tenant) < 0.5
+        over = j.r.tenant is not None and self._inside(j.r.tenant, self.activity(j.r.tenant).ran) < 0.5
         stay = not away and (j.r.retry or over or self.rng.random() < full)
         self.acts.append(Refuse(j.r.id, int(wait), stay))
         self._drop(j)
--- a/tests/test_tenants_at_size.py
+++ b/tests/test_tenants_at_size.py
@@ -64,7 +64,7 @@
     def probe(self, tenant):
         """What the goal gains by an answer to it, and the part of what it starts that is within its share."""
         job = Job(i.Request("probe", 0, tenant, work=S), self.settings.classes[0], self.now)
-        return self.c._value(job), self.c._inside(tenant)
+        return self.c._value(job), self.c._inside(tenant, self.c.activity(tenant).ran)
 
 
 class Dense:
