Give reading a configuration a form in steps, and the configuration a version

Need: reading 58,000 tenants at one go holds the loop for seconds. What applies a change gets the form it is to be driven by: a generator whose return value is the Config, told of the Config in force. load() runs it to its end. Config.version is the short sha256 of what was read, and no part of a comparison.

--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -6,8 +6,8 @@
 import secrets
 import socket
 import tomllib
-from collections.abc import Mapping
-from dataclasses import dataclass, fields, replace
+from collections.abc import Generator, Mapping
+from dataclasses import dataclass, field, fields, replace
 from hashlib import sha256
 from pathlib import Path
 from typing import Any
@@ -177,6 +177,7 @@
     passed: int | None = None  # a descriptor that listens at `listen`, kept by the platform
     link: str | None = None  # where the process that replaces this one finds it
     keys: frozenset[str] = frozenset()  # of the platform's file: one that is read again must have them all
+    version: str = field(default="", compare=False)  # short hash of the content read
 
 
 # ---- values
@@ -438,13 +439,36 @@
         **(_operators(_toml(second, "OCHREHOIST_AJP"), common["settings"]) if second else {}))
 
 
+def _version(*paths: str | None) -> str:
+    return sha256(b"".join(Path(path).read_bytes() for path in paths if path)).hexdigest()[:12]
+
+
+def load_in_steps(path: str | None = None, environment: Mapping[str, str] = os.environ,
+                  before: Config | None = None) -> Generator[None, None, Config]:
+    """As load(), by a generator that returns the Config: each step is short, so that others get a turn.
+
+    `before` is the Config in force: its tenants and rules that did not change come back as the same objects,
+    and where all are the same, as the same tuple. Raises BadInput, which names key and place.
+    """
+    yield
+    if path and path.endswith(".json"):
+        file, second, read = path, environment.get("OCHREHOIST_AJP"), load_platform
+    elif not path and environment.get("EDGE_CONFIG"):
+        file, second, read = environment["EDGE_CONFIG"], environment.get("OCHREHOIST_AJP"), load_platform
+    else:
+        file, second = path or environment.get("OCHREHOIST_AJP") or APPLIANCE_FILE, None
+        read = load_appliance
+    return replace(read(file, environment), version=_version(file, second))
+
+
 def load(path: str | None = None, environment: Mapping[str, str] = os.environ) -> Config:
     """The file named, else the platform's where EDGE_CONFIG names one, else the appliance's."""
-    if path and path.endswith(".json"):
-        return load_platform(path, environment)
-    if not path and environment.get("EDGE_CONFIG"):
-        return load_platform(environment["EDGE_CONFIG"], environment)
-    return load_appliance(path or environment.get("OCHREHOIST_AJP") or APPLIANCE_FILE, environment)
+    steps = load_in_steps(path, environment)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
 
 
 # ---- a configuration read again while the worker runs
