Read a configuration in short steps, and only what is new of it

Cause: tomllib and json take a file at one go: 2.97 s held up at 58,000 tenants and 3,800 routes, read anew for each change, and each tenant and route made and compared anew.

--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -1,229 +1,43 @@
 """All configuration: read, checked and given defaults here and nowhere else. Messages name the faulty key."""
 
-import ipaddress
-import json
 import os
+import re
 import secrets
 import socket
-import tomllib
-from collections.abc import Generator, Mapping
-from dataclasses import dataclass, field, fields, replace
+from collections.abc import Generator, Mapping, Sequence
+from dataclasses import fields, replace
 from hashlib import sha256
+from operator import is_
 from pathlib import Path
 from typing import Any
 
+from ochrehoist import config_json
+from ochrehoist.config_source import Kept, Source, Text, joined, text_in_steps
+from ochrehoist.config_types import (
+    CONTROLLERS,
+    ON_LOSS,
+    Address,
+    AjpConfig,
+    AjpRule,
+    AjpServer,
+    CaptureConfig,
+    Config,
+    OverloadConfig,
+    StateConfig,
+)
+from ochrehoist.config_values import address, header, only, required
 from ochrehoist.interface import Settings
-from ochrehoist.settings import BadInput, Reader, settings_from
+from ochrehoist.settings import BadInput, Reader, Tenants, at_once, settings_in_steps
+
+Steps = Generator[None, None, Any]
 
-Address = tuple[str, int]
 APPLIANCE_FILE = "deploy/ajp.toml"  # where nothing else is named
 MAX_LINK = 90  # bytes of a path; a socket's may have 107, and a few are added to it
-ON_LOSS = ("hold", "serve")  # refuse filings until no window of before can be open, or take the risk
-# By which the running limit is found; `module`: by the decision module alone.
-CONTROLLERS = ("module", "seek", "steps", "gradient", "vegas", "aimd", "fixed")
-USES = ("repeats", "tenant", "server")  # what a budget of the fleet is for
 MIN_PACKET, MAX_PACKET = 8192, 65536  # of AJP/1.3
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
-class AjpServer:
-    name: str
-    address: Address
-    secret: str | None
-    connect_ms: int
-    reply_ms: int
-    max_idle: int
-
-
-@dataclass(slots=True, frozen=True)
-class AjpRule:
-    uri: str
-    methods: frozenset[str]
-    kind: str
-
-
-@dataclass(slots=True, frozen=True, kw_only=True)
-class AjpConfig:
-    listen: Address
-    secret: str | None
-    packet_size: int
-    max_body: int
-    max_response: int
-    max_connections: int
-    idle_s: float
-    body_s: float
-    retry_ms: int
-    memory_kb: float
-    health_uri: bytes
-    tenant_header: bytes
-    default_tenant: str | None
-    key_header: bytes
-    retry_header: bytes
-    rules: tuple[AjpRule, ...]
-    servers: tuple[AjpServer, ...]
-
-
-@dataclass(slots=True, frozen=True, kw_only=True)
-class StateConfig:
-    """What survives the process, and where."""
-
-    folder: str
-    must_exist: bool  # a folder without a store is one that is not mounted, not a first start
-    max_mb: float
-    commit_ms: float  # that the first filing of a group waits for more
-    stall_ms: float  # that a filing waits for the disk
-    on_loss: str
-    max_result_kb: float
-    learned_every_s: float
-    learned_half_life_s: float
-
-
-@dataclass(slots=True, frozen=True, kw_only=True)
-class CaptureConfig:
-    """What is recorded of the load, and where."""
-
-    folder: str
-    sample: float  # share of subjects
-    max_mb: float  # of all files; the oldest go
-    file_mb: float  # a new file after so much
-    file_s: float  # or so long
-
-
-@dataclass(slots=True, frozen=True, kw_only=True)
-class OverloadConfig:
-    """What a worker does with what it measures of itself; each part can be switched off by itself."""
-
-    door: bool = True  # turns away at the door what it is too far behind to decide on
-    pools: bool = True  # limits what runs, by what completes, and keeps floors for classes
-    controller: str = "module"  # how the limit is found; one of CONTROLLERS
-    least: int | None = None  # running at once; by default a quarter of the cores
-    most: int | None = None  # by default what the cores are said to survive
-    lane: bool = False  # keeps what costs many times the usual to a narrow lane
-    retries: bool = False  # keeps callers to a budget of repeats while requests are turned away
-
-
-@dataclass(slots=True, frozen=True, kw_only=True)
-class BudgetConfig:
-    """What all workers of a fleet together may use. `of`: a tenant or a server; None: all servers alike."""
-
-    name: str
-    use: str  # one of USES
-    of: str | None
-    amount: int  # in a second; of "server": at once
-    lease_s: float
-    floor: float  # share of its own rights that a worker which is cut off keeps, for
-    floor_lease_s: float
-    longest_s: float  # of one run, where what runs at once is counted
-    parts: int
-
-
-@dataclass(slots=True, frozen=True, kw_only=True)
-class PeersConfig:
-    """The other workers, and what is shared with them."""
-
-    listen: Address
-    address: Address  # by which others reach it
-    group: str
-    site: str
-    secrets: tuple[str, ...]  # the first signs; any of them is believed
-    probe_ms: int
-    members: Mapping[str, Address]
-    start: tuple[Address, ...]
-    voters: tuple[str, ...]
-    most_out: float
-    most_per_s: float
-    budgets: tuple[BudgetConfig, ...]
-
-
-@dataclass(slots=True, frozen=True, kw_only=True)
-class SitesConfig:
-    """The sites that the fleet's workers lie in."""
-
-    site: str  # this worker's
-    places: Any  # site by address, of the fleet's description (sites.places.Places); None: as members say
-    playbook: Any  # sites.playbook.Playbook, or None
-    pace: bool  # whether a worker that comes back takes its load by steps
-
-
-@dataclass(slots=True, frozen=True, kw_only=True)
-class RecoveryConfig:
-    """What others know of the filings begun here, and how a start is measured."""
-
-    witnesses: tuple[str, ...]
-    wait_ms: float  # that a filing waits for them
-
-
-@dataclass(slots=True, frozen=True, kw_only=True)
-class Config:
-    name: str
-    settings: Settings
-    gauges: tuple[str, ...]
-    seed: int
-    stop_ms: int
-    memory_mb: float
-    sockets: int
-    listen: Address | None = None  # the platform's front
-    kernel: Address | None = None
-    members: Address | None = None
-    ajp: AjpConfig | None = None
-    admin: Address | None = None  # where operators call
-    agent: Address | None = None
-    state: StateConfig | None = None
-    capture: CaptureConfig | None = None
-    overload: OverloadConfig | None = None
-    peers: PeersConfig | None = None
-    sites: SitesConfig | None = None
-    recovery: RecoveryConfig | None = None
-    passed: int | None = None  # a descriptor that listens at `listen`, kept by the platform
-    link: str | None = None  # where the process that replaces this one finds it
-    keys: frozenset[str] = frozenset()  # of the platform's file: one that is read again must have them all
-    version: str = field(default="", compare=False)  # short hash of the content read
-
-
-# ---- values
-
-
-def _address(r: Reader, key: str, loopback: bool = False) -> Address | None:
-    if key not in r.data:
-        return None
-    text = r.text(key)
-    host, colon, port = text.rpartition(":")
-    if not colon or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise BadInput(f"setting {r.path}{key}: not host:port: {text!r}")
-    try:
-        if loopback and not ipaddress.IPv4Address(host).is_loopback:
-            raise BadInput(f"setting {r.path}{key}: not a loopback address: {text!r}")
-        return str(ipaddress.IPv4Address(host)), int(port)
-    except ValueError:
-        raise BadInput(f"setting {r.path}{key}: not an IPv4 address: {text!r}") from None
-
-
-def _required(r: Reader, key: str, loopback: bool = False) -> Address:
-    r.text(key)
-    return _address(r, key, loopback)
-
-
-def _header(r: Reader, key: str, default: str) -> bytes:
-    name = r.text(key, default)
-    if not name.isascii() or not name.isprintable() or set(name) & set(" :"):
-        raise BadInput(f"setting {r.path}{key}: not a header name: {name!r}")
-    return name.lower().encode()
-
-
-def _only(r: Reader, *known: str) -> Reader:
-    """A misspelt key would be a default taken unseen."""
-    for key in r.data:
-        if key not in known:
-            raise BadInput(f"setting {r.path}{key}: unknown")
-    return r
-
-
-def _settings(raw: Reader) -> tuple[Settings, tuple[str, ...]]:
-    settings = settings_from(raw.data)
-    gauges = raw.part("FamilyInfo").items("OwnStats", [])
-    if not all(isinstance(g, str) for g in gauges):
-        raise BadInput(f"setting settings.FamilyInfo.OwnStats: unusable value {gauges!r}")
-    return settings, tuple(gauges)
+STEP = 500  # rules looked at in one step
+TENANTS, RULES = ("settings", "Tenants"), ("ajp", "rules")
 
 
 def _seed(r: Reader) -> int:
@@ -237,30 +51,64 @@
 # ---- the second front and the appliance
 
 
-def _rules(r: Reader, settings: Settings) -> tuple[AjpRule, ...]:
-    kinds, out = {c.name for c in settings.classes}, []
-    for at, data in enumerate(r.items("rules")):
-        rule = _only(Reader(data, f"{r.path}rules[{at}]."), "uri", "methods", "class")
+class _Rules:
+    """Makes the elements of `ajp.rules`; one that is as before comes back as the same object."""
+
+    def __init__(self, before: Sequence[AjpRule]) -> None:
+        self.before, self.known, self.methods = before, {}, {}
+
+    def know_in_steps(self) -> Steps:
+        for at, rule in enumerate(self.before):
+            self.known[rule.uri, rule.methods, rule.kind] = rule
+            self.methods[rule.methods] = rule.methods
+            if not (at + 1) % STEP:
+                yield
+
+    def take(self, data: Any) -> Any:
+        """The rule, its class not yet looked up, or the data as they are where they can't be used."""
+        try:
+            return self.checked(data, "", None)
+        except BadInput:
+            return data
+
+    def checked(self, data: Any, path: str, kinds: Mapping[str, str] | None) -> AjpRule:
+        """Raises BadInput, which names the key after `path`. `kinds`: names of classes; None: any will do."""
+        rule = only(Reader(data, path), "uri", "methods", "class")
         kind, methods = rule.text("class"), rule.items("methods", [])
-        if kind not in kinds:
+        if kinds is not None and kind not in kinds:
             raise BadInput(f"setting {rule.path}class: unknown class {kind!r}")
         if not all(isinstance(m, str) and m for m in methods):
             raise BadInput(f"setting {rule.path}methods: unusable value {methods!r}")
         uri = rule.text("uri")
         if not uri.startswith("/"):
             raise BadInput(f"setting {rule.path}uri: does not start with /: {uri!r}")
-        out.append(AjpRule(uri, frozenset(m.upper() for m in methods), kind))
-    return tuple(out)
+        some = frozenset(m.upper() for m in methods)
+        some = self.methods.setdefault(some, some)  # few sets for many rules
+        return self.known.get((uri, some, kind)) or AjpRule(uri, some, kind)
+
+    def all_in_steps(self, r: Reader, settings: Settings) -> Generator[None, None, tuple[AjpRule, ...]]:
+        """All of them. Raises BadInput."""
+        kinds, out = {c.name: c.name for c in settings.classes}, []
+        for at, item in enumerate(r.items("rules")):
+            if type(item) is not AjpRule:
+                item = self.checked(item, f"{r.path}rules[{at}].", kinds)
+            elif item.kind not in kinds:
+                raise BadInput(f"setting {r.path}rules[{at}].class: unknown class {item.kind!r}")
+            out.append(item)
+            if not (at + 1) % STEP:
+                yield
+        same = len(out) == len(self.before) and all(map(is_, out, self.before))
+        return tuple(self.before) if same else tuple(out)
 
 
 def _servers(r: Reader) -> tuple[AjpServer, ...]:
     out = []
     for at, data in enumerate(r.items("servers")):
-        server = _only(Reader(data, f"{r.path}servers[{at}]."), "name", "address", "secret", "connect_ms",
+        server = only(Reader(data, f"{r.path}servers[{at}]."), "name", "address", "secret", "connect_ms",
                        "reply_ms", "max_idle")
         out.append(AjpServer(
             name=server.text("name", None) or server.text("address"),
-            address=_required(server, "address", loopback=True),
+            address=required(server, "address", loopback=True),
             secret=server.text("secret", None), connect_ms=server.whole("connect_ms", 500, least=1),
             reply_ms=server.whole("reply_ms", 30_000, least=1), max_idle=server.whole("max_idle", 8)))
     if not out:
@@ -270,43 +118,49 @@
     return tuple(out)
 
 
-def _ajp(r: Reader, settings: Settings) -> AjpConfig:
-    _only(r, "listen", "secret", "packet_size", "max_body", "max_response", "max_connections", "idle_s",
+def _ajp(r: Reader, settings: Settings, places: Mapping[str, int], rules: _Rules) \
+        -> Generator[None, None, AjpConfig]:
+    only(r, "listen", "secret", "packet_size", "max_body", "max_response", "max_connections", "idle_s",
           "body_s", "retry_ms", "memory_kb", "health_uri", "headers", "default_tenant", "rules", "servers")
     packet = r.whole("packet_size", MIN_PACKET, least=MIN_PACKET)
     if packet > MAX_PACKET:
         raise BadInput(f"setting {r.path}packet_size: over {MAX_PACKET}: {packet}")
-    headers = _only(r.part("headers", {}), "tenant", "key", "retry")
+    headers = only(r.part("headers", {}), "tenant", "key", "retry")
     tenant = r.text("default_tenant", None)
-    if tenant is not None and tenant not in {t.name for t in settings.tenants}:
+    if tenant is not None and tenant not in places:
         raise BadInput(f"setting {r.path}default_tenant: unknown tenant {tenant!r}")
     return AjpConfig(
-        listen=_required(r, "listen", loopback=True), secret=r.text("secret", None), packet_size=packet,
+        listen=required(r, "listen", loopback=True), secret=r.text("secret", None), packet_size=packet,
         max_body=r.whole("max_body", 1 << 20), max_response=r.whole("max_response", 1 << 20, least=1),
         max_connections=r.whole("max_connections", 256, least=1), idle_s=r.number("idle_s", 60, least=0.1),
         body_s=r.number("body_s", 10, least=0.05), retry_ms=r.whole("retry_ms", 2000),
         memory_kb=r.number("memory_kb", 24.0), health_uri=r.text("health_uri", "/healthz").encode(),
-        tenant_header=_header(headers, "tenant", "X-Tenant"), default_tenant=tenant,
-        key_header=_header(headers, "key", "Idempotency-Key"),
-        retry_header=_header(headers, "retry", "X-Retry"), rules=_rules(r, settings), servers=_servers(r))
+        tenant_header=header(headers, "tenant", "X-Tenant"), default_tenant=tenant,
+        key_header=header(headers, "key", "Idempotency-Key"),
+        retry_header=header(headers, "retry", "X-Retry"),
+        rules=(yield from rules.all_in_steps(r, settings)), servers=_servers(r))
 
 
-def _toml(path: str, key: str) -> Reader:
+def _toml(path: str, key: str, rules: _Rules, tenants: Tenants, before: Source | None) -> Steps:
+    """The file's data, its source, what its lines are, and the digest of its text."""
+    from ochrehoist import config_toml  # its library is for those who have such a file
+
+    yield from rules.know_in_steps()
     try:
-        data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        text = yield from text_in_steps(path)
+        read = yield from config_toml.read_in_steps(text, {TENANTS: tenants.take, RULES: rules.take}, before)
     except (OSError, ValueError) as error:
         raise BadInput(f"setting {key}: {path}: {error}") from None
-    top = _only(Reader(data, ""), "name", "stop_ms", "limits", "admin", "ajp", "console", "state",
-                "capture", "overload", "peers", "sites", "recovery",
-                "settings")
-    _only(top.part("limits", {}), "memory_mb", "sockets")
-    return top
+    top = only(Reader(read.data, ""), "name", "stop_ms", "limits", "admin", "ajp", "console", "state",
+               "capture", "overload", "peers", "sites", "recovery", "settings")
+    only(top.part("limits", {}), "memory_mb", "sockets")
+    return top, read, text.digest
 
 
 def _state(top: Reader) -> StateConfig | None:
     if "state" not in top.data:
         return None
-    r = _only(top.part("state"), "folder", "must_exist", "max_mb", "commit_ms", "stall_ms", "on_loss",
+    r = only(top.part("state"), "folder", "must_exist", "max_mb", "commit_ms", "stall_ms", "on_loss",
               "max_result_kb", "learned_every_s", "learned_half_life_s")
     return StateConfig(
         folder=r.text("folder"), must_exist=r.flag("must_exist", False),
@@ -321,7 +175,7 @@
 def _capture(top: Reader) -> CaptureConfig | None:
     if "capture" not in top.data:
         return None
-    r = _only(top.part("capture"), "folder", "sample", "max_mb", "file_mb", "file_s")
+    r = only(top.part("capture"), "folder", "sample", "max_mb", "file_mb", "file_s")
     sample = r.number("sample", 1.0)
     if not 0 < sample <= 1:
         raise BadInput(f"setting {r.path}sample: not above 0 and at most 1: {sample!r}")
@@ -333,7 +187,7 @@
 def _overload(top: Reader, settings: Settings) -> OverloadConfig | None:
     if "overload" not in top.data:
         return None
-    r = _only(top.part("overload"), "door", "pools", "controller", "least_running", "most_running", "lane",
+    r = only(top.part("overload"), "door", "pools", "controller", "least_running", "most_running", "lane",
               "retries")
     survives = int(settings.cores * settings.tip_multiple)
     least, most = (r.whole(key, 0) or None for key in ("least_running", "most_running"))
@@ -347,26 +201,29 @@
         lane=r.flag("lane", False), retries=r.flag("retries", False))
 
 
-def _operators(top: Reader, settings: Settings) -> dict[str, Any]:
+def _operators(top: Reader, settings: Settings, places: Mapping[str, int], rules: _Rules) -> Steps:
     """What operators of other installations switch on, each by its table."""
-    console = _only(top.part("console", {}), "agent_check")
-    ajp = _ajp(top.part("ajp"), settings) if "ajp" in top.data else None
+    console = only(top.part("console", {}), "agent_check")
+    ajp = (yield from _ajp(top.part("ajp"), settings, places, rules)) if "ajp" in top.data else None
     state, fleet = _state(top), {}
     if {"peers", "sites", "recovery"} & top.data.keys():
         from ochrehoist.config_fleet import fleet_tables  # only for those who want a fleet
 
-        fleet = fleet_tables(top, settings, ajp, state)
-    return {"ajp": ajp, "agent": _address(console, "agent_check", True), "state": state,
+        fleet = fleet_tables(top, settings, places, ajp, state)
+    return {"ajp": ajp, "agent": address(console, "agent_check", True), "state": state,
             "capture": _capture(top), "overload": _overload(top, settings)} | fleet
 
 
-def _common(top: Reader, seed: int) -> dict[str, Any]:
-    limits = top.part("limits", {})
-    settings, gauges = _settings(top.part("settings"))
-    return {"name": top.text("name"), "settings": settings, "gauges": gauges, "seed": seed,
+def _common(top: Reader, seed: int, tenants: Tenants) -> Steps:
+    limits, raw = top.part("limits", {}), top.part("settings")
+    settings, places = yield from settings_in_steps(raw.data, tenants)
+    gauges = raw.part("FamilyInfo").items("OwnStats", [])
+    if not all(isinstance(g, str) for g in gauges):
+        raise BadInput(f"setting settings.FamilyInfo.OwnStats: unusable value {gauges!r}")
+    return {"name": top.text("name"), "settings": settings, "gauges": tuple(gauges), "seed": seed,
             "stop_ms": top.whole("stop_ms", 3000, least=1),
             "memory_mb": limits.number("memory_mb", 192, least=1),
-            "sockets": limits.whole("sockets", 1024, least=64)}
+            "sockets": limits.whole("sockets", 1024, least=64), "tenants_at": places}
 
 
 def _keys(data: Mapping[str, Any]) -> frozenset[str]:
@@ -405,70 +262,113 @@
     return int(text)
 
 
-def load_appliance(path: str, environment: Mapping[str, str]) -> Config:
+def _json(text: Text, tenants: Tenants, before: Source | None) -> Steps:
+    if before is not None and before.digest == text.digest:
+        return joined(before.rest, before.kept)
+    whole = text.whole()
+    text.parts.clear()
+    return (yield from config_json.read_in_steps(whole, {TENANTS: tenants.take}))
+
+
+def _json_source(data: dict[str, Any], text: Text, settings: Settings) -> Source | None:
+    if text.size <= config_json.WHOLE or "Tenants" not in data["settings"]:
+        return None
+    return Source(text.digest, joined(data, {TENANTS: Kept()}), {TENANTS: Kept(settings.tenants)})
+
+
+def _version(*digests: bytes) -> str:
+    return sha256(b"".join(digests)).hexdigest()[:12]
+
+
+def _placed(error: BadInput, lines: Mapping[tuple[str, ...], Sequence[int]]) -> BadInput:
+    """With the lines of the elements that the error names."""
+    named = re.match(r"setting (?:(ajp\.rules)|Tenants)\[(\d+)\]", str(error))
+    at = lines.get(RULES if named and named[1] else TENANTS)
+    if not named or at is None:
+        return error
+    other = f", and in line {at[error.first]}" if error.first is not None else ""
+    return BadInput(f"{error} (in the table of line {at[int(named[2])]}{other})")
+
+
+def _appliance(path: str, environment: Mapping[str, str], before: Config | None) -> Steps:
     """An appliance of its own: AJP in front, AJP servers behind."""
-    top = _toml(path, "OCHREHOIST_AJP")
+    tenants, rules = _known(before)
+    top, read, digest = yield from _toml(path, "OCHREHOIST_AJP", rules, tenants, before and before.source)
     top.part("ajp")  # its only front
     if environment.get("EDGE_ADMIN"):
         top.data["admin"] = environment["EDGE_ADMIN"]
-    common = _common(top, secrets.randbits(64))
-    return Config(**common, admin=_address(top, "admin", True), link=_link(common["name"], environment),
-                  **_operators(top, common["settings"]))
+    try:
+        common = yield from _common(top, secrets.randbits(64), tenants)
+        tables = yield from _operators(top, common["settings"], common["tenants_at"], rules)
+    except BadInput as error:
+        raise _placed(error, read.lines) from None
+    return Config(**common, admin=address(top, "admin", True), link=_link(common["name"], environment),
+                  version=_version(digest), source=read.source, **tables)
+
+
+def _known(before: Config | None) -> tuple[Tenants, _Rules]:
+    """What makes tenants and rules; those of the Config in force are known."""
+    if before is None:
+        return Tenants(), _Rules(())
+    return Tenants(before.settings.tenants, before.tenants_at), _Rules(before.ajp.rules if before.ajp else ())
 
 
-def load_platform(path: str, environment: Mapping[str, str]) -> Config:
+def _platform(path: str, environment: Mapping[str, str], before: Config | None) -> Steps:
     """The platform's file; EDGE_NAME, EDGE_LISTEN and EDGE_ADMIN go before it.
 
     AJP is on only where a file is named.
     """
+    tenants, rules = _known(before)
     try:
-        data = json.loads(Path(path).read_text(encoding="utf-8"))
+        text = yield from text_in_steps(path)
+        data = yield from _json(text, tenants, before and before.source)
     except (OSError, ValueError) as error:
         raise BadInput(f"setting EDGE_CONFIG: {error}") from None
-    top = Reader(data, "")
+    top = Reader(dict(data) if isinstance(data, dict) else data, "")
     for variable, key in (("EDGE_NAME", "name"), ("EDGE_LISTEN", "listen"), ("EDGE_ADMIN", "admin")):
         if environment.get(variable):
             top.data[key] = environment[variable]
-    common = _common(top, _seed(top))
-    second = environment.get("OCHREHOIST_AJP")
-    listen = _required(top, "listen")
-    return Config(
+    common = yield from _common(top, _seed(top), tenants)
+    listen, second = required(top, "listen"), environment.get("OCHREHOIST_AJP")
+    out = Config(
         **common, listen=listen, passed=_passed(environment, listen), link=_link(common["name"], environment),
-        keys=_keys(data), kernel=_required(top, "kernel"), members=_address(top, "members"),
-        admin=_address(top, "admin"),
-        **(_operators(_toml(second, "OCHREHOIST_AJP"), common["settings"]) if second else {}))
-
-
-def _version(*paths: str | None) -> str:
-    return sha256(b"".join(Path(path).read_bytes() for path in paths if path)).hexdigest()[:12]
+        keys=_keys(data), kernel=required(top, "kernel"), members=address(top, "members"),
+        admin=address(top, "admin"), version=_version(text.digest),
+        source=_json_source(data, text, common["settings"]))
+    if not second:
+        return out
+    appliance, read, digest = yield from _toml(second, "OCHREHOIST_AJP", rules, Tenants(), None)
+    try:
+        tables = yield from _operators(appliance, out.settings, out.tenants_at, rules)
+    except BadInput as error:
+        raise _placed(error, read.lines) from None
+    return replace(out, version=_version(text.digest, digest), **tables)
 
 
 def load_in_steps(path: str | None = None, environment: Mapping[str, str] = os.environ,
                   before: Config | None = None) -> Generator[None, None, Config]:
-    """As load(), by a generator that returns the Config: each step is short, so that others get a turn.
+    """The file named, else the platform's where EDGE_CONFIG names one, else the appliance's.
 
-    `before` is the Config in force: its tenants and rules that did not change come back as the same objects,
-    and where all are the same, as the same tuple. Raises BadInput, which names key and place.
+    A generator that returns the Config: each step is short, so that others get a turn. `before` is the Config
+    in force: its tenants and rules that did not change come back as the same objects, and where all are the
+    same, as the same tuple. Raises BadInput, which names key and place.
     """
-    yield
     if path and path.endswith(".json"):
-        file, second, read = path, environment.get("OCHREHOIST_AJP"), load_platform
-    elif not path and environment.get("EDGE_CONFIG"):
-        file, second, read = environment["EDGE_CONFIG"], environment.get("OCHREHOIST_AJP"), load_platform
-    else:
-        file, second = path or environment.get("OCHREHOIST_AJP") or APPLIANCE_FILE, None
-        read = load_appliance
-    return replace(read(file, environment), version=_version(file, second))
+        return (yield from _platform(path, environment, before))
+    if not path and environment.get("EDGE_CONFIG"):
+        return (yield from _platform(environment["EDGE_CONFIG"], environment, before))
+    path = path or environment.get("OCHREHOIST_AJP") or APPLIANCE_FILE
+    return (yield from _appliance(path, environment, before))
 
 
 def load(path: str | None = None, environment: Mapping[str, str] = os.environ) -> Config:
-    """The file named, else the platform's where EDGE_CONFIG names one, else the appliance's."""
-    steps = load_in_steps(path, environment)
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            return end.value
+    """As load_in_steps(), without a pause."""
+    return at_once(load_in_steps(path, environment))
+
+
+def load_appliance(path: str, environment: Mapping[str, str]) -> Config:
+    """An appliance of its own: AJP in front, AJP servers behind."""
+    return at_once(_appliance(path, environment, None))
 
 
 # ---- a configuration read again while the worker runs
@@ -478,14 +378,14 @@
 
 
 def _differing(old: Any, new: Any) -> set[str]:
-    return {f.name for f in fields(old) if getattr(old, f.name) != getattr(new, f.name)}
+    return {f.name for f in fields(old) if f.compare and getattr(old, f.name) != getattr(new, f.name)}
 
 
 def taken_over(old: Config, new: Config) -> tuple[Config, list[str]]:
     """The old configuration with what can change in a running worker, and the keys that differ but can't."""
     for key in sorted(old.keys - new.keys):
         raise BadInput(f"setting {key}: missing")
-    old = replace(old, keys=new.keys)
+    old = replace(old, keys=new.keys, version=new.version, tenants_at=new.tenants_at, source=new.source)
     if None not in (old.peers, new.peers):
         # Majorities of two lists that differ by more need not share a voter.
         if len(set(old.peers.voters) ^ set(new.peers.voters)) > 1:
--- a/ochrehoist/config_fleet.py
+++ b/ochrehoist/config_fleet.py
@@ -1,9 +1,10 @@
 """The tables of a fleet: [peers], [sites] and [recovery], read and checked. Loaded only where one is."""
 
+from collections.abc import Container
 from pathlib import Path
 from typing import Any
 
-from ochrehoist.config import (
+from ochrehoist.config_types import (
     USES,
     AjpConfig,
     BudgetConfig,
@@ -12,17 +13,15 @@
     SitesConfig,
     StateConfig,
 )
-from ochrehoist.config import _address as address
-from ochrehoist.config import _only as only
-from ochrehoist.config import _required as required
+from ochrehoist.config_values import address, only, required
 from ochrehoist.interface import Settings
 from ochrehoist.settings import REQUIRED, BadInput, Reader
 
 
-def fleet_tables(top: Reader, settings: Settings, ajp: AjpConfig | None,
+def fleet_tables(top: Reader, settings: Settings, tenants: Container[str], ajp: AjpConfig | None,
                  state: StateConfig | None) -> dict[str, Any]:
-    """Raises BadInput, which names the key."""
-    peers = peers_of(top, settings, ajp)
+    """`tenants`: their names. Raises BadInput, which names the key."""
+    peers = peers_of(top, tenants, ajp)
     return {"peers": peers, "sites": sites_of(top, settings, peers),
             "recovery": recovery_of(top, peers, state)}
 
@@ -36,10 +35,10 @@
     return tuple(values)
 
 
-def _budget(r: Reader, settings: Settings, servers: set[str], voters: tuple[str, ...]) -> BudgetConfig:
+def _budget(r: Reader, tenants: Container[str], servers: set[str], voters: tuple[str, ...]) -> BudgetConfig:
     only(r, "name", "use", "of", "amount", "lease_ms", "floor", "floor_lease_s", "longest_ms", "parts")
     use, of = r.choice("use", {word: word for word in USES}), r.text("of", None)
-    known = {t.name for t in settings.tenants} if use == "tenant" else servers
+    known = tenants if use == "tenant" else servers
     if (of is None and use != "repeats") or (of is not None and of not in known):
         raise BadInput(f"setting {r.path}of: no such {'tenant' if use == 'tenant' else 'server'}: {of!r}")
     longest = r.number("longest_ms", 0.0)
@@ -57,7 +56,7 @@
         longest_s=longest / 1000 if use == "server" else 0.0, parts=r.whole("parts", 0))
 
 
-def peers_of(top: Reader, settings: Settings, ajp: AjpConfig | None) -> PeersConfig | None:
+def peers_of(top: Reader, tenants: Container[str], ajp: AjpConfig | None) -> PeersConfig | None:
     if "peers" not in top.data:
         return None
     r = only(top.part("peers"), "listen", "address", "group", "site", "secrets", "probe_ms", "members",
@@ -73,7 +72,7 @@
     if set(voters) - known:  # on one address for each rests that each has one vote
         raise BadInput(f"setting {r.path}voters: not in {r.path}members: {sorted(set(voters) - known)}")
     servers = {s.name for s in ajp.servers} if ajp else set()
-    budgets = tuple(_budget(Reader(data, f"{r.path}budgets[{at}]."), settings, servers, voters)
+    budgets = tuple(_budget(Reader(data, f"{r.path}budgets[{at}]."), tenants, servers, voters)
                     for at, data in enumerate(r.items("budgets", [])))
     for key in ("name", "of"):
         seen = [(b.use if key == "of" else None, getattr(b, key)) for b in budgets]
--- a/ochrehoist/settings.py
+++ b/ochrehoist/settings.py
@@ -1,8 +1,11 @@
 """The settings object, as it comes in the simulator's first message and in a worker's configuration."""
 
-import json
+import gc
 import math
+from collections.abc import Generator, Mapping, Sequence
+from typing import Any, TypeVar
 
+from ochrehoist import config_json
 from ochrehoist import interface as i
 
 REPEATS = {"idempotent": i.Repeat.SAFE, "deduplicated": i.Repeat.KEYED, "at_most_once": i.Repeat.UNSAFE}
@@ -11,11 +14,17 @@
           "share_of": i.Advice.WEIGHT}
 PREEMPTION = {"off": i.Preemption.NONE, "abort": i.Preemption.DROP, "suspend": i.Preemption.PAUSE}
 REQUIRED = object()
+STEP = 1000  # tenants looked at in one step
+STAY = 1000  # new tenants after which the collector is told that they stay
+
+T = TypeVar("T")
 
 
 class BadInput(Exception):
     """A line or a setting that cannot be used; the text names it."""
 
+    first: int | None = None  # of two elements that can't be together, the place of the other
+
 
 # ---- settings
 
@@ -107,18 +116,77 @@
     return tuple(out)
 
 
-def _tenants(top):
-    out = []
-    for at, data in enumerate(top.items("Tenants", [])):
-        t = Reader(data, f"Tenants[{at}].")
-        out.append(i.Tenant(t.text("Name"), t.number("QuotaPerS"), t.number("Fraction", 0.0)))
-    return tuple(out)
+class Tenants:
+    """Makes the elements of `Tenants`; one that is as before comes back as the same object."""
+
+    def __init__(self, before: Sequence[i.Tenant] = (), at: Mapping[str, int] | None = None) -> None:
+        self.before, self.at = before, at or {}
+        self.fresh = 0
+
+    def take(self, data: Any) -> Any:
+        """The tenant, or the data as they are where they can't be used: tenants_in_steps() tells why."""
+        try:
+            return self.checked(data, "")
+        except BadInput:
+            return data
+
+    def checked(self, data: Any, path: str) -> i.Tenant:
+        """Raises BadInput, which names the key after `path`."""
+        t = Reader(data, path)
+        name, quota, share = t.text("Name"), t.number("QuotaPerS"), t.number("Fraction", 0.0)
+        at = self.at.get(name)
+        if at is not None:
+            known = self.before[at]
+            if (known.quota_per_s, known.share) == (quota, share) \
+                    and type(known.quota_per_s) is type(quota) and type(known.share) is type(share):
+                return known
+        self.fresh += 1
+        if self.fresh % STAY == 0:
+            # Looking through tens of thousands of them again and again would hold up the loop.
+            gc.freeze()
+        return i.Tenant(name, quota, share)
+
+    def all_in_steps(self, listed: Sequence[Any]) \
+            -> Generator[None, None, tuple[tuple[i.Tenant, ...], dict[str, int]]]:
+        """All of them, and their places by name. `listed`: tenants, or data. Raises BadInput."""
+        out, places = [], {}
+        for at, item in enumerate(listed):
+            tenant = item if type(item) is i.Tenant else self.checked(item, f"Tenants[{at}].")
+            first = places.setdefault(tenant.name, at)
+            if first != at:
+                raise _twice(tenant.name, at, first)
+            out.append(tenant)
+            if not (at + 1) % STEP:
+                yield
+        if len(out) == len(self.before):
+            for at in range(0, len(out), STEP):
+                if any(a is not b for a, b in zip(out[at:at + STEP], self.before[at:at + STEP], strict=True)):
+                    return tuple(out), places
+                if at:
+                    yield
+            return tuple(self.before), places
+        return tuple(out), places
+
+
+def _twice(name: str, at: int, first: int) -> BadInput:
+    error = BadInput(f"setting Tenants[{at}].Name: {name!r} is the name of Tenants[{first}] too")
+    error.first = first
+    return error
+
+
+def at_once(steps: Generator[None, None, T]) -> T:
+    """What the steps come to, without a pause."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
 
 
 def read_settings(text):
     """The settings object of a CREATE message, as the controller's Settings."""
     try:
-        data = json.loads(text)
+        data = at_once(config_json.read_in_steps(text, {("Tenants",): Tenants().take}))
     except ValueError as error:
         raise BadInput(f"message CREATE field Settings: {error}") from None
     return settings_from(data)
@@ -126,14 +194,22 @@
 
 def settings_from(data):
     """The settings object, already parsed, as the controller's Settings."""
+    return at_once(settings_in_steps(data, Tenants()))[0]
+
+
+def settings_in_steps(data: Any, tenants: Tenants) \
+        -> Generator[None, None, tuple[i.Settings, dict[str, int]]]:
+    """As settings_from(), and the places of the tenants by name. Tenants in `data` may be made already."""
     top = Reader(data, "")
     info, rules, limits = top.part("FamilyInfo"), top.part("Rules"), top.part("PolicyLimits", {})
     mix, prices = top.part("ResultMix"), top.part("Charges", {})
     below = info.choice("DependsOn", BELOW, "off")
     shared = REQUIRED if below is i.Below.SHARED else 0
     advice = info.choice("Say", ADVICE, "off")
+    classes = _classes(top, info)
+    listed, places = yield from tenants.all_in_steps(top.items("Tenants", []))
     return i.Settings(
-        classes=_classes(top, info), tenants=_tenants(top),
+        classes=classes, tenants=listed,
         goal=i.Goal(mix.number("Whole"), mix.number("WorstWindow", 0.0), mix.number("WorstClass", 0.0),
                     mix.number("WorstTenant", 0.0)),
         prices={k: v for k, v in prices.data.items() if isinstance(v, int | float)},
@@ -156,4 +232,4 @@
         preemption=info.choice("Preemption", PREEMPTION, "off"), readiness=info.flag("Readiness", False),
         deep_checks=info.flag("DeepChecks", False), idle=info.whole("Idle", 0),
         step=top.whole("Step", least=1),
-    )
+    ), places
