Leave unchanged stretches of tenants unlooked at, and copy a long tuple once

Seen by the collector's own callbacks: lists and tuples of 58,000 made in a change were looked through in its young generations, at up to 7 ms a time on a busy machine, and tenants made one by one let full collections grow to 12 ms.

Change: what a stretch gave before stands as a range until the end; places by name are kept where they are the same; new tenants are told to the collector by thousands, as the store does with what it takes up. Not at each change: gc.freeze() keeps the cycles of the connections then open (a closed AJP connection is one, seen with DEBUG_SAVEALL), for good. Servers, members and budgets are made in steps too. JSON: a tenant with the same values is not checked again.

--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -27,7 +27,7 @@
 )
 from ochrehoist.config_values import address, header, only, required
 from ochrehoist.interface import Settings
-from ochrehoist.settings import BadInput, Reader, Tenants, at_once, settings_in_steps
+from ochrehoist.settings import BadInput, Reader, Tenants, at_once, settings_in_steps, spliced_in_steps
 
 Steps = Generator[None, None, Any]
 
@@ -37,6 +37,7 @@
 
 
 STEP = 500  # rules looked at in one step
+FEW = 50  # servers, made in one step
 TENANTS, RULES = ("settings", "Tenants"), ("ajp", "rules")
 
 
@@ -54,7 +55,7 @@
 class _Rules:
     """Makes the elements of `ajp.rules`; one that is as before comes back as the same object."""
 
-    def __init__(self, before: Sequence[AjpRule]) -> None:
+    def __init__(self, before: tuple[AjpRule, ...]) -> None:
         self.before, self.known, self.methods = before, {}, {}
 
     def know_in_steps(self) -> Steps:
@@ -67,11 +68,11 @@
     def take(self, data: Any) -> Any:
         """The rule, its class not yet looked up, or the data as they are where they can't be used."""
         try:
-            return self.checked(data, "", None)
+            return self._checked(data, "", None)
         except BadInput:
             return data
 
-    def checked(self, data: Any, path: str, kinds: Mapping[str, str] | None) -> AjpRule:
+    def _checked(self, data: Any, path: str, kinds: Mapping[str, str] | None) -> AjpRule:
         """Raises BadInput, which names the key after `path`. `kinds`: names of classes; None: any will do."""
         rule = only(Reader(data, path), "uri", "methods", "class")
         kind, methods = rule.text("class"), rule.items("methods", [])
@@ -89,28 +90,31 @@
     def all_in_steps(self, r: Reader, settings: Settings) -> Generator[None, None, tuple[AjpRule, ...]]:
         """All of them. Raises BadInput."""
         kinds, out = {c.name: c.name for c in settings.classes}, []
-        for at, item in enumerate(r.items("rules")):
-            if type(item) is not AjpRule:
-                item = self.checked(item, f"{r.path}rules[{at}].", kinds)
-            elif item.kind not in kinds:
-                raise BadInput(f"setting {r.path}rules[{at}].class: unknown class {item.kind!r}")
-            out.append(item)
-            if not (at + 1) % STEP:
-                yield
+        for item in r.items("rules"):
+            for rule in self.before[item.start:item.stop] if type(item) is range else (item,):
+                if type(rule) is not AjpRule:
+                    rule = self._checked(rule, f"{r.path}rules[{len(out)}].", kinds)
+                elif rule.kind not in kinds:
+                    raise BadInput(f"setting {r.path}rules[{len(out)}].class: unknown class {rule.kind!r}")
+                out.append(rule)
+                if not len(out) % STEP:
+                    yield
         same = len(out) == len(self.before) and all(map(is_, out, self.before))
-        return tuple(self.before) if same else tuple(out)
+        return self.before if same else (yield from spliced_in_steps([out], ()))
 
 
-def _servers(r: Reader) -> tuple[AjpServer, ...]:
+def _servers(r: Reader) -> Generator[None, None, tuple[AjpServer, ...]]:
     out = []
     for at, data in enumerate(r.items("servers")):
         server = only(Reader(data, f"{r.path}servers[{at}]."), "name", "address", "secret", "connect_ms",
-                       "reply_ms", "max_idle")
+                      "reply_ms", "max_idle")
         out.append(AjpServer(
             name=server.text("name", None) or server.text("address"),
             address=required(server, "address", loopback=True),
             secret=server.text("secret", None), connect_ms=server.whole("connect_ms", 500, least=1),
             reply_ms=server.whole("reply_ms", 30_000, least=1), max_idle=server.whole("max_idle", 8)))
+        if not len(out) % FEW:
+            yield
     if not out:
         raise BadInput(f"setting {r.path}servers: none named")
     if len({s.name for s in out}) < len(out):
@@ -138,7 +142,7 @@
         tenant_header=header(headers, "tenant", "X-Tenant"), default_tenant=tenant,
         key_header=header(headers, "key", "Idempotency-Key"),
         retry_header=header(headers, "retry", "X-Retry"),
-        rules=(yield from rules.all_in_steps(r, settings)), servers=_servers(r))
+        rules=(yield from rules.all_in_steps(r, settings)), servers=(yield from _servers(r)))
 
 
 def _toml(path: str, key: str, rules: _Rules, tenants: Tenants, before: Source | None) -> Steps:
@@ -209,7 +213,7 @@
     if {"peers", "sites", "recovery"} & top.data.keys():
         from ochrehoist.config_fleet import fleet_tables  # only for those who want a fleet
 
-        fleet = fleet_tables(top, settings, places, ajp, state)
+        fleet = yield from fleet_tables(top, settings, places, ajp, state)
     return {"ajp": ajp, "agent": address(console, "agent_check", True), "state": state,
             "capture": _capture(top), "overload": _overload(top, settings)} | fleet
 
@@ -264,7 +268,7 @@
 
 def _json(text: Text, tenants: Tenants, before: Source | None) -> Steps:
     if before is not None and before.digest == text.digest:
-        return joined(before.rest, before.kept)
+        return joined(before.rest, {TENANTS: [range(len(before.kept[TENANTS].elements))]})
     whole = text.whole()
     text.parts.clear()
     return (yield from config_json.read_in_steps(whole, {TENANTS: tenants.take}))
@@ -273,7 +277,7 @@
 def _json_source(data: dict[str, Any], text: Text, settings: Settings) -> Source | None:
     if text.size <= config_json.WHOLE or "Tenants" not in data["settings"]:
         return None
-    return Source(text.digest, joined(data, {TENANTS: Kept()}), {TENANTS: Kept(settings.tenants)})
+    return Source(text.digest, joined(data, {TENANTS: []}), {TENANTS: Kept(settings.tenants)})
 
 
 def _version(*digests: bytes) -> str:
@@ -302,15 +306,19 @@
         tables = yield from _operators(top, common["settings"], common["tenants_at"], rules)
     except BadInput as error:
         raise _placed(error, read.lines) from None
+    source = read.source(digest, {TENANTS: common["settings"].tenants, RULES: tables["ajp"].rules})
     return Config(**common, admin=address(top, "admin", True), link=_link(common["name"], environment),
-                  version=_version(digest), source=read.source, **tables)
+                  version=_version(digest), source=source, **tables)
 
 
 def _known(before: Config | None) -> tuple[Tenants, _Rules]:
     """What makes tenants and rules; those of the Config in force are known."""
     if before is None:
         return Tenants(), _Rules(())
-    return Tenants(before.settings.tenants, before.tenants_at), _Rules(before.ajp.rules if before.ajp else ())
+    kept = before.source.kept if before.source is not None else {}
+    tenants = kept[TENANTS].elements if TENANTS in kept else before.settings.tenants
+    rules = kept[RULES].elements if RULES in kept else before.ajp.rules if before.ajp else ()
+    return Tenants(tenants, before.tenants_at), _Rules(rules)
 
 
 def _platform(path: str, environment: Mapping[str, str], before: Config | None) -> Steps:
--- a/ochrehoist/config_fleet.py
+++ b/ochrehoist/config_fleet.py
@@ -1,11 +1,12 @@
 """The tables of a fleet: [peers], [sites] and [recovery], read and checked. Loaded only where one is."""
 
-from collections.abc import Container
+from collections.abc import Container, Generator
 from pathlib import Path
 from typing import Any
 
 from ochrehoist.config_types import (
     USES,
+    Address,
     AjpConfig,
     BudgetConfig,
     PeersConfig,
@@ -17,11 +18,13 @@
 from ochrehoist.interface import Settings
 from ochrehoist.settings import REQUIRED, BadInput, Reader
 
+STEP = 50  # budgets or members made in one step
+
 
 def fleet_tables(top: Reader, settings: Settings, tenants: Container[str], ajp: AjpConfig | None,
-                 state: StateConfig | None) -> dict[str, Any]:
-    """`tenants`: their names. Raises BadInput, which names the key."""
-    peers = peers_of(top, tenants, ajp)
+                 state: StateConfig | None) -> Generator[None, None, dict[str, Any]]:
+    """In steps. `tenants`: their names. Raises BadInput, which names the key."""
+    peers = yield from peers_of(top, tenants, ajp)
     return {"peers": peers, "sites": sites_of(top, settings, peers),
             "recovery": recovery_of(top, peers, state)}
 
@@ -56,7 +59,8 @@
         longest_s=longest / 1000 if use == "server" else 0.0, parts=r.whole("parts", 0))
 
 
-def peers_of(top: Reader, tenants: Container[str], ajp: AjpConfig | None) -> PeersConfig | None:
+def peers_of(top: Reader, tenants: Container[str], ajp: AjpConfig | None) \
+        -> Generator[None, None, PeersConfig | None]:
     if "peers" not in top.data:
         return None
     r = only(top.part("peers"), "listen", "address", "group", "site", "secrets", "probe_ms", "members",
@@ -72,19 +76,27 @@
     if set(voters) - known:  # on one address for each rests that each has one vote
         raise BadInput(f"setting {r.path}voters: not in {r.path}members: {sorted(set(voters) - known)}")
     servers = {s.name for s in ajp.servers} if ajp else set()
-    budgets = tuple(_budget(Reader(data, f"{r.path}budgets[{at}]."), tenants, servers, voters)
-                    for at, data in enumerate(r.items("budgets", [])))
+    budgets: list[BudgetConfig] = []
+    for at, data in enumerate(r.items("budgets", [])):
+        budgets.append(_budget(Reader(data, f"{r.path}budgets[{at}]."), tenants, servers, voters))
+        if not len(budgets) % STEP:
+            yield
     for key in ("name", "of"):
         seen = [(b.use if key == "of" else None, getattr(b, key)) for b in budgets]
         if len(set(seen)) < len(seen):
             raise BadInput(f"setting {r.path}budgets: two of one {key}")
+    members: dict[str, Address] = {}
+    for name in others.data:
+        members[name] = required(others, name, loopback=True)
+        if not len(members) % STEP:
+            yield
     return PeersConfig(
         listen=listen, address=address(r, "address", True) or listen, group=r.text("group"),
         site=r.text("site", "") or "", secrets=secret, probe_ms=r.whole("probe_ms", 100, least=20),
-        members={name: required(others, name, loopback=True) for name in others.data},
+        members=members,
         start=tuple(required(Reader({"start": text}, r.path), "start", loopback=True) for text in starts),
         voters=tuple(sorted(voters)), most_out=most_out, most_per_s=r.number("most_per_s", 3000, least=1),
-        budgets=budgets)
+        budgets=tuple(budgets))
 
 
 def sites_of(top: Reader, settings: Settings, peers: PeersConfig | None) -> SitesConfig | None:
--- a/ochrehoist/config_source.py
+++ b/ochrehoist/config_source.py
@@ -4,7 +4,7 @@
 import io
 import os
 import stat
-from collections.abc import Generator, Mapping
+from collections.abc import Generator, Mapping, Sequence
 from dataclasses import dataclass, field
 from hashlib import sha256
 from typing import Any
@@ -15,12 +15,15 @@
 TRIES = 5  # at a file that changes while it is read
 
 
+Stretches = dict[bytes, tuple[int, int]]  # which elements a piece of text gave: the first and the number
+
+
 @dataclass(slots=True, frozen=True)
 class Kept:
-    """The elements of one array, and which of them each stretch of its text gave: first and number."""
+    """The elements of one array, and what parts of its text gave them."""
 
-    elements: tuple[Any, ...] = ()
-    stretches: Mapping[bytes, tuple[int, int]] = field(default_factory=dict)
+    elements: Sequence[Any]
+    stretches: Stretches = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,15 +47,15 @@
         return "".join(self.parts)
 
 
-def joined(rest: Mapping[str, Any], arrays: Mapping[Path, Kept]) -> dict[str, Any]:
-    """`rest` with the elements in their places; itself it stays as it is."""
+def joined(rest: Mapping[str, Any], arrays: Mapping[Path, list[Any]]) -> dict[str, Any]:
+    """`rest` with the arrays in their places; itself it stays as it is."""
     out = dict(rest)
-    for path, array in arrays.items():
+    for path, elements in arrays.items():
         table = out
         for key in path[:-1]:
             table[key] = dict(table[key])
             table = table[key]
-        table[path[-1]] = list(array.elements)
+        table[path[-1]] = elements
     return out
 
 
--- a/ochrehoist/config_toml.py
+++ b/ochrehoist/config_toml.py
@@ -6,22 +6,23 @@
 """
 
 import re
-import zlib
 from array import array
 from bisect import bisect_right
-from collections.abc import Callable, Generator, Mapping
+from collections.abc import Callable, Generator, Mapping, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Any
+from zlib import crc32
 
 import tomli
 
 from ochrehoist.config_json import WHOLE, Path
-from ochrehoist.config_source import Kept, Source, Text, joined
+from ochrehoist.config_source import Kept, Source, Stretches, Text, joined
 
 ELEMENTS = 64  # of a stretch, at the most,
 STRETCH = 4096  # or so many characters, unless one element has more
 BORDER = 24  # one element in so many begins a stretch, by its own text: what comes before it moves no border
+TRIES = 32  # at finding what is good before a fault
 LONGEST = 65536  # characters of one element, or one line
 
 _LINE = re.compile(r"\n[ \t]*\[[^\n]*")  # what may be a header
@@ -45,11 +46,19 @@
 class Reading:
     """A file read."""
 
-    data: dict[str, Any]  # as a plain reading gives it, but with the elements that `element_of` gave
-    source: Source | None = None  # None: read as a whole
+    data: dict[str, Any]  # as a plain reading gives it, but a range stands for elements of before
+    rest: dict[str, Any] | None = None  # without those arrays; None: all was read as a whole
+    stretches: Mapping[Path, Stretches] = field(default_factory=dict)
     lines: Mapping[Path, array] = field(default_factory=dict)  # of the elements
     parsed: int = 0  # elements that were parsed
 
+    def source(self, digest: bytes, elements: Mapping[Path, Sequence[Any]]) -> Source | None:
+        """What the next reading may know. `elements`: the arrays as they were taken."""
+        if self.rest is None:
+            return None
+        return Source(digest, self.rest, {path: Kept(elements[path], stretches)
+                                          for path, stretches in self.stretches.items()})
+
 
 def read_in_steps(text: Text, element_of: Mapping[Path, Callable[[Any], Any]],
                   before: Source | None) -> Generator[None, None, Reading]:
@@ -59,7 +68,9 @@
     """
     if text.size > WHOLE:
         if before is not None and before.digest == text.digest:
-            return Reading(joined(before.rest, before.kept), before)
+            all_of = {path: [range(len(kept.elements))] for path, kept in before.kept.items()}
+            return Reading(joined(before.rest, all_of), before.rest,
+                           {path: kept.stretches for path, kept in before.kept.items()})
         try:
             return (yield from _Parting(element_of, before).read(text))
         except _Unusual:
@@ -80,17 +91,21 @@
     """One text, parted: elements go into stretches, all other lines into the rest."""
 
     def __init__(self, element_of: Mapping[Path, Callable[[Any], Any]], before: Source | None) -> None:
-        self.element_of, self.before = element_of, before
+        self.element_of = element_of
+        self.known: dict[Path, Stretches] = {
+            path: before.kept[path].stretches if before is not None and path in before.kept else {}
+            for path in element_of}
         self.headers: dict[str, Path | None] = {}  # path by line; None: of no usual form
         self.path = _TABLE  # of what the line in hand belongs to
         self.rest: list[tuple[str, int]] = []  # text and its first line
         self.run: set[Path] = set()  # arrays that stand in the rest since its last own line
         self.runs: dict[Path, int] = {}
-        self.arrays: dict[Path, list[Any]] = {}
+        self.arrays: dict[Path, list[Any]] = {}  # a range stands for elements of before
         self.lines: dict[Path, array] = {}
-        self.stretches: dict[Path, dict[bytes, tuple[int, int]]] = {}
+        self.stretches: dict[Path, Stretches] = {}
         self.stretch: list[str] = []  # elements not yet read, all of `self.path`
         self.length = self.first = self.parsed = 0
+        self.due = False  # for others to get a turn
 
     def read(self, text: Text) -> Generator[None, None, Reading]:
         buffer, line = "\n", 0  # lines before the buffer's first character, which is a newline
@@ -105,17 +120,15 @@
                 raise _Unusual
             yield
         yield from self._take(buffer, line, last=True)
-        yield from self._close("")
+        self._close("")
         yield
         data = self._rest()
         yield
-        kept = {}
-        for path in self.element_of:
-            if path in self.arrays:
-                kept[path] = Kept(tuple(self.arrays[path]), self.stretches[path])
-        others = {path: elements for path, elements in self.arrays.items() if path not in kept}
-        rest = joined(data, {path: Kept(elements) for path, elements in others.items()})
-        return Reading(joined(rest, kept), Source(text.digest, rest, kept), self.lines, self.parsed)
+        others = {path: elements for path, elements in self.arrays.items() if path not in self.element_of}
+        arrays = {path: elements for path, elements in self.arrays.items() if path in self.element_of}
+        rest = joined(data, others)
+        stretches = {path: self.stretches[path] for path in arrays}
+        return Reading(joined(rest, arrays), rest, stretches, self.lines, self.parsed)
 
     def _take(self, buffer: str, line: int, last: bool) -> Generator[None, None, int]:
         """How much of the buffer was taken: up to the last header, or line, that may yet go on."""
@@ -123,20 +136,29 @@
         for match in _LINE.finditer(buffer):
             if match.end() == len(buffer) and not last:
                 break  # the line may go on
-            if match.start() == 0 and self.path:
+            start = match.start()
+            if not start and self.path:
                 continue  # the element in hand
-            path = self._header(match.group())
+            header = match.group()
+            path = self._header(header)
             if path is None:
                 if self.path:
                     raise _Unusual
                 continue  # of the rest, whatever it is
-            start = match.start()
-            if start > at or self.path:
-                line = yield from self._piece(buffer[at:start], line, match.group())
+            if self.path:
+                line = self._element(buffer[at:start], line, header)
+                if self.due:
+                    self.due = False
+                    yield
+            elif start > at:
+                line = self._own(buffer[at:start], line)
             at, self.path = start, path
         end = len(buffer) if last else at if self.path else max(at, buffer.rfind("\n"))
         if end > at:
-            yield from self._piece(buffer[at:end], line, "")
+            if self.path:
+                self._element(buffer[at:end], line, "")
+            else:
+                self._own(buffer[at:end], line)
         return end
 
     def _header(self, text: str) -> Path | None:
@@ -155,34 +177,40 @@
             self.headers[text] = path
         return path
 
-    def _piece(self, text: str, line: int, follows: str) -> Generator[None, None, int]:
-        """Lines from one header to the next, or as many as are there; the number of lines before the next."""
-        if not self.path:
-            self.rest.append((text, line + 1))
-            self.run.clear()
-            return line + text.count("\n")
+    def _own(self, text: str, line: int) -> int:
+        """Lines of the rest. The number of lines before what follows."""
+        self.rest.append((text, line + 1))
+        self.run.clear()
+        return line + text.count("\n")
+
+    def _element(self, text: str, line: int, follows: str) -> int:
+        """An element, and the header that follows. The number of lines before that."""
         path = self.path
         if path not in self.run:
-            self.run.add(path)
-            self.runs[path] = self.runs.get(path, 0) + 1
-            end = text.find("\n", 1)
-            self.rest.append((text if end < 0 else text[:end], line + 1))
-        if path not in self.arrays:
-            self.arrays[path], self.lines[path], self.stretches[path] = [], array("L"), {}
-        if self.stretch and (
-                len(self.stretch) == ELEMENTS or self.length + len(text) > STRETCH
-                or not zlib.crc32(text.encode()) % BORDER):
-            yield from self._close(text)
-        if not self.stretch:
+            self._begin_run(path, text, line)
+        stretch = self.stretch
+        if stretch and (len(stretch) == ELEMENTS or self.length + len(text) > STRETCH
+                        or not crc32(text.encode()) % BORDER):
+            self._close(text)
+            stretch = self.stretch
+        if not stretch:
             self.first = line + 1
-        self.stretch.append(text)
+        stretch.append(text)
         self.lines[path].append(line + 1)
         self.length += len(text)
         if follows and self._header(follows) != path:
-            yield from self._close(follows)
+            self._close(follows)
         return line + text.count("\n")
 
-    def _close(self, follows: str) -> Generator[None, None, None]:
+    def _begin_run(self, path: Path, text: str, line: int) -> None:
+        self.run.add(path)
+        self.runs[path] = self.runs.get(path, 0) + 1
+        end = text.find("\n", 1)
+        self.rest.append((text if end < 0 else text[:end], line + 1))
+        if path not in self.arrays:
+            self.arrays[path], self.lines[path], self.stretches[path] = [], array("L"), {}
+
+    def _close(self, follows: str) -> None:
         """The stretch is read, unless it is known from before."""
         if not self.stretch:
             return
@@ -191,17 +219,18 @@
         element_of = self.element_of.get(path)
         if element_of is None:
             elements += self._parse(text, follows)
-            yield
             return
         digest = blake2b(text.encode(), digest_size=16).digest()
-        self.stretches[path][digest] = len(elements), number
-        kept = self.before.kept.get(path) if self.before is not None else None
-        known = kept.stretches.get(digest) if kept is not None else None
-        if known is not None:
-            elements += kept.elements[known[0]:known[0] + known[1]]
+        end = len(self.lines[path])
+        self.stretches[path][digest] = end - number, number
+        known = self.known[path].get(digest)
+        if known is None:
+            elements += map(element_of, self._parse(text, follows))
             return
-        elements += map(element_of, self._parse(text, follows))
-        yield
+        first, number = known
+        if elements and type(elements[-1]) is range and elements[-1].stop == first:
+            first = elements.pop().start
+        elements.append(range(first, known[0] + number))
 
     def _parse(self, text: str, follows: str) -> list[Any]:
         try:
@@ -212,6 +241,7 @@
         for key in self.path:
             data = data[key]
         self.parsed += len(data)
+        self.due = True
         return data
 
     @staticmethod
@@ -229,14 +259,21 @@
         try:
             data = _loads(text)
         except ValueError as error:
+            self._unmixed(_good_part(text, getattr(error, "lineno", 0)), part=True)
             raise _faulty(error, self._offset(error)) from None
+        self._unmixed(data)
+        return data
+
+    def _unmixed(self, data: Any, part: bool = False) -> None:
+        """Nothing in the rest goes on within an element. `part`: `data` is of the beginning only."""
         for path, runs in self.runs.items():
-            table: Any = data
+            table = data
             for key in path:
                 table = table.get(key) if isinstance(table, dict) else None
+            if part and (table is None or isinstance(table, list) and not any(table)):
+                continue
             if table != [{}] * runs:
-                raise _Unusual  # something goes on within an element
-        return data
+                raise _Unusual
 
     def _offset(self, error: ValueError) -> int:
         """What the line of the rest that the error names has less than that of the file."""
@@ -248,6 +285,18 @@
         return self.rest[at][1] - starts[at]
 
 
+def _good_part(text: str, line: int) -> dict[str, Any]:
+    """What can be read of the text before the line at fault."""
+    ends = [match.end() for match in _LINE.finditer(text)]
+    end = len("\n".join(text.split("\n")[:max(line - 1, 0)])) if line else len(text)
+    for at in [end, *(header for header in reversed(ends) if header < end)][:TRIES]:
+        try:
+            return _loads(text[:at])
+        except ValueError:
+            continue
+    raise _Unusual
+
+
 def _faulty(error: ValueError, offset: int) -> _Faulty:
     message, line = getattr(error, "msg", str(error)), getattr(error, "lineno", 2) + offset
     if getattr(error, "pos", 0) >= len(getattr(error, "doc", " ")):
--- a/ochrehoist/settings.py
+++ b/ochrehoist/settings.py
@@ -15,7 +15,7 @@
 PREEMPTION = {"off": i.Preemption.NONE, "abort": i.Preemption.DROP, "suspend": i.Preemption.PAUSE}
 REQUIRED = object()
 STEP = 1000  # tenants looked at in one step
-STAY = 1000  # new tenants after which the collector is told that they stay
+STAY = 4000  # new tenants after which the collector is told that they stay
 
 T = TypeVar("T")
 
@@ -119,53 +119,93 @@
 class Tenants:
     """Makes the elements of `Tenants`; one that is as before comes back as the same object."""
 
-    def __init__(self, before: Sequence[i.Tenant] = (), at: Mapping[str, int] | None = None) -> None:
-        self.before, self.at = before, at or {}
-        self.fresh = 0
+    fresh = 0  # tenants made by this process since the collector was told
+
+    def __init__(self, before: tuple[i.Tenant, ...] = (), places: Mapping[str, int] | None = None) -> None:
+        self.before, self.places = before, places or {}
 
     def take(self, data: Any) -> Any:
-        """The tenant, or the data as they are where they can't be used: tenants_in_steps() tells why."""
+        """The tenant, or the data as they are where they can't be used: all_in_steps() tells why."""
         try:
-            return self.checked(data, "")
+            return self._known(data) or self._checked(data, "")
         except BadInput:
             return data
 
-    def checked(self, data: Any, path: str) -> i.Tenant:
+    def _known(self, data: Any) -> i.Tenant | None:
+        """That of before with the same values."""
+        if type(data) is not dict or type(name := data.get("Name")) is not str or name not in self.places:
+            return None
+        known, quota, share = self.before[self.places[name]], data.get("QuotaPerS"), data.get("Fraction", 0.0)
+        same = known.quota_per_s == quota and type(known.quota_per_s) is type(quota) \
+            and known.share == share and type(known.share) is type(share)
+        return known if same else None
+
+    def _checked(self, data: Any, path: str) -> i.Tenant:
         """Raises BadInput, which names the key after `path`."""
         t = Reader(data, path)
-        name, quota, share = t.text("Name"), t.number("QuotaPerS"), t.number("Fraction", 0.0)
-        at = self.at.get(name)
-        if at is not None:
-            known = self.before[at]
-            if (known.quota_per_s, known.share) == (quota, share) \
-                    and type(known.quota_per_s) is type(quota) and type(known.share) is type(share):
-                return known
-        self.fresh += 1
-        if self.fresh % STAY == 0:
-            # Looking through tens of thousands of them again and again would hold up the loop.
+        tenant = i.Tenant(t.text("Name"), t.number("QuotaPerS"), t.number("Fraction", 0.0))
+        Tenants.fresh += 1
+        if Tenants.fresh == STAY:
+            # Looking through tens of thousands of them again and again would hold up the loop. Not more often
+            # than this: what is garbage by now, in cycles, stays too.
+            Tenants.fresh = 0
             gc.freeze()
-        return i.Tenant(name, quota, share)
+        return tenant
 
     def all_in_steps(self, listed: Sequence[Any]) \
-            -> Generator[None, None, tuple[tuple[i.Tenant, ...], dict[str, int]]]:
-        """All of them, and their places by name. `listed`: tenants, or data. Raises BadInput."""
-        out, places = [], {}
-        for at, item in enumerate(listed):
-            tenant = item if type(item) is i.Tenant else self.checked(item, f"Tenants[{at}].")
+            -> Generator[None, None, tuple[tuple[i.Tenant, ...], Mapping[str, int]]]:
+        """All of them, and their places by name. `listed`: data, tenants, and ranges of those of before.
+
+        Raises BadInput.
+        """
+        at, moved, same = 0, len(self.places) != len(self.before), True
+        parts: list[range | list[i.Tenant]] = []
+        for number, item in enumerate(listed):
+            if type(item) is range:
+                moved |= item.start != at
+                at += len(item)
+                parts.append(item)
+            else:
+                if type(item) is not i.Tenant:
+                    item = self._known(item) or self._checked(item, f"Tenants[{at}].")
+                was = self.before[at] if at < len(self.before) else None
+                same &= item is was
+                moved |= was is None or item.name != was.name
+                at += 1
+                if not parts or type(parts[-1]) is range:
+                    parts.append([])
+                parts[-1].append(item)
+            if not (number + 1) % STEP:
+                yield
+        same &= at == len(self.before) and not moved
+        tenants = self.before if same else (yield from spliced_in_steps(parts, self.before))
+        if at == len(self.before) and not moved:
+            return tenants, self.places
+        places: dict[str, int] = {}
+        for at, tenant in enumerate(tenants):
             first = places.setdefault(tenant.name, at)
             if first != at:
                 raise _twice(tenant.name, at, first)
-            out.append(tenant)
             if not (at + 1) % STEP:
                 yield
-        if len(out) == len(self.before):
-            for at in range(0, len(out), STEP):
-                if any(a is not b for a, b in zip(out[at:at + STEP], self.before[at:at + STEP], strict=True)):
-                    return tuple(out), places
-                if at:
-                    yield
-            return tuple(self.before), places
-        return tuple(out), places
+        return tenants, places
+
+
+def spliced_in_steps(parts: Sequence[range | list[T]], before: tuple[T, ...]) \
+        -> Generator[None, None, tuple[T, ...]]:
+    """All of the parts; a range stands for elements of before."""
+    out: list[T] = parts[0] if len(parts) == 1 and type(parts[0]) is list else []
+    for part in parts if not out else ():
+        out += before[part.start:part.stop] if type(part) is range else part
+    if len(out) <= STEP:
+        return tuple(out)
+    yield
+    whole = tuple(out)
+    out.clear()
+    # Looked through now, it is so once, while in the caches; later it would be twice, and take longer.
+    gc.collect(1)
+    yield
+    return whole
 
 
 def _twice(name: str, at: int, first: int) -> BadInput:
