Rename the door to admission, the standard term, with its key; the older key stays taken

The older key is still taken; both at once are refused, and the error names overload.door.

No decision changes. No app_* figure carries the word. /status showed overload.door: it shows overload.admission, and the older name beside it, as tools may read it. The log line that began with 'behind: shedding at the door' now says 'at admission'.

--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -1,4 +1,4 @@
-"""A flood at the door, beside an earlier revision by turns: what a refusal costs in processor time, how long
+"""A flood at admission, beside an earlier revision by turns: what a refusal costs in processor time, how long
 checks and filings wait meanwhile, and how late the loop runs.
 
 `python -m benchmarks.flood [REVISION] [--rounds N] [--seconds N] [--busy N]`. The worker has a processor of
--- a/benchmarks/limit_choice.py
+++ b/benchmarks/limit_choice.py
@@ -41,7 +41,7 @@
     "heavy tail, no work stated, 105%": (1.05, {"classes": HEAVY, "unstated": True}, 1, None),
     "retry storm, 120%": (1.2, STORM, 1, None),
 }
-OFF = OverloadConfig(door=False, pools=False, lane=False, retries=False)
+OFF = OverloadConfig(admission=False, pools=False, lane=False, retries=False)
 WAYS: dict[str, OverloadConfig | None] = {
     "module alone": None,
     **{name: dataclasses.replace(OFF, pools=True, controller=name) for name in CONTROLLERS[1:]},
--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -93,7 +93,7 @@
 class OverloadConfig:
     """What a worker does with what it measures of itself; each part can be switched off by itself."""
 
-    door: bool = True  # turns away at the door what it is too far behind to decide on
+    admission: bool = True  # turns away early what it is too far behind to decide on
     pools: bool = True  # limits what runs, by what completes, and keeps floors for classes
     controller: str = "module"  # how the limit is found; one of CONTROLLERS
     least: int | None = None  # running at once; by default a quarter of the cores
@@ -332,8 +332,11 @@
 def _overload(top: Reader, settings: Settings) -> OverloadConfig | None:
     if "overload" not in top.data:
         return None
-    r = _only(top.part("overload"), "door", "pools", "controller", "least_running", "most_running", "lane",
-              "retries")
+    r = _only(top.part("overload"), "admission", "door", "pools", "controller", "least_running",
+              "most_running", "lane", "retries")
+    admission = "door" if "door" in r.data else "admission"  # as it was called before
+    if {"door", "admission"} <= r.data.keys():
+        raise BadInput(f"setting {r.path}door: the older name of admission, which is there too")
     survives = int(settings.cores * settings.tip_multiple)
     least, most = (r.whole(key, 0) or None for key in ("least_running", "most_running"))
     if most is not None and most > survives:
@@ -341,7 +344,7 @@
     if (least or 1) > (most or survives):
         raise BadInput(f"setting {r.path}least_running: over the most that may run: {least}")
     return OverloadConfig(
-        door=r.flag("door", True), pools=r.flag("pools", True), least=least, most=most,
+        admission=r.flag(admission, True), pools=r.flag("pools", True), least=least, most=most,
         controller=r.choice("controller", {name: name for name in CONTROLLERS}, CONTROLLERS[0]),
         lane=r.flag("lane", False), retries=r.flag("retries", False))
 
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -95,7 +95,7 @@
     no_retry: bool = True  # no other worker would take it either
 
 
-class Door(Protocol):
+class Admission(Protocol):
     """Asked by fronts before a request becomes one of the core's, while the core decides here."""
 
     def admits(self, cls: str, tenant: str | None, caller: int, age: int) -> int | None:
--- a/ochrehoist/limits/door.py
+++ b/ochrehoist/limits/admission.py
@@ -1,9 +1,9 @@
-"""The door: while the worker is behind, which requests are let in to the core, and which are turned away as
+"""Admission: while the worker is behind, which requests are let in to the core, and which are turned away as
 cheaply as can be. Without I/O.
 
 It is open unless the watch says that the worker is behind. Then what can be afforded is shared out by worth
 among classes, by share among tenants, alike among callers. A filing always gets in: only the core knows
-whether it ran, and nothing that ran may be refused. What the door turns away is told when to come back, and
+whether it ran, and nothing that ran may be refused. What admission turns away is told when to come back, and
 is told so at once.
 """
 
@@ -33,7 +33,7 @@
     shed: Counter = field(default_factory=Counter)  # by class and reason
 
 
-class Door:
+class Admission:
     """`admits` for each request that may be run again; `look` ten times a second."""
 
     def __init__(self, watch: Watch, settings: Settings, seed: int) -> None:
@@ -55,7 +55,7 @@
         self.weights: Mapping[str, float] = {t.name: max(1e-3, t.share) for t in settings.tenants}
 
     def may_shed(self, cls: str) -> bool:
-        """Whether this door has a say: filings and what may run once only are the core's alone."""
+        """Whether it has a say: filings and what may run once only are the core's alone."""
         return self.safe.get(cls, False)
 
     def admits(self, cls: str, tenant: str | None, caller: int, age: int) -> int | None:
--- a/ochrehoist/limits/watch.py
+++ b/ochrehoist/limits/watch.py
@@ -39,7 +39,7 @@
     busy_s: float  # time that rounds of the loop took
     late_s: float  # the longest that anything which could run waited
     admitted: int = 0  # requests let in
-    shed: int = 0  # and turned away at the door
+    shed: int = 0  # and turned away at admission
     rss: int = 0  # bytes
     unread: int = 0  # bytes that wait in the system's buffers
     begun: int = 0  # runs begun
@@ -75,7 +75,7 @@
     rate: float = float("inf")  # requests a second that may be let in
     share: float = 1.0  # of a processor that we get while we want one
     cost: float = FIRST_COST  # s of processor time, of one request that is let in
-    shed_cost: float = FIRST_COST / 4  # of one that is turned away at the door
+    shed_cost: float = FIRST_COST / 4  # of one that is turned away at admission
     offered: float = 0.0  # requests a second, with those shed
     begun: float = 0.0  # runs a second
     late: float = 0.0
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -14,7 +14,7 @@
 
 from ochrehoist.config import AjpConfig
 from ochrehoist.core.owner import Owner
-from ochrehoist.core.requests import Arrived, Door, Executor, Gone, Inbound, Reason, Result
+from ochrehoist.core.requests import Admission, Arrived, Executor, Gone, Inbound, Reason, Result
 from ochrehoist.interface import Outcome, Repeat, RequestClass, Settings
 from ochrehoist.net import ajp
 from ochrehoist.net.ajp_server import AjpPayload, read_packet
@@ -164,7 +164,7 @@
 
     def __init__(self, front: "AjpFront", stream: Stream) -> None:
         self.front, self.stream, self.in_hand = front, stream, False
-        self.number = next(front.numbers)  # by which the door tells callers apart
+        self.number = next(front.numbers)  # by which admission tells callers apart
         self.used_at, self.known = time.monotonic(), False  # known: it has sent a packet
         self.served, self.pace = False, Pace(front.loop)
         self.body_bytes = 0  # read or promised, of the request in hand
@@ -214,7 +214,7 @@
         checked = None
         try:
             checked = self.front.reader.check(f)
-            self._at_the_door(checked)
+            self._ask_admission(checked)
             self._book(f.length)
             # A body that takes longer than its caller waits is of no use.
             until = time.monotonic() + checked[0].deadline / S
@@ -245,13 +245,13 @@
                 self.front.owner.post(Gone(request.id))
                 raise Closed
 
-    def _at_the_door(self, checked: tuple) -> None:
+    def _ask_admission(self, checked: tuple) -> None:
         """Turns away, before its body is read, what the worker is too far behind to decide on."""
-        door = self.front.door
-        if door is None or not self.front.owner.decides:
+        admission = self.front.admission
+        if admission is None or not self.front.owner.decides:
             return
         cls, tenant, _ = checked
-        backoff = door.admits(cls.name, tenant, self.number, 0)
+        backoff = admission.admits(cls.name, tenant, self.number, 0)
         if backoff is not None:
             rejected = Rejected(HTTPStatus.SERVICE_UNAVAILABLE, "turned away, never run")
             rejected.after = max(1, -(-backoff // S))
@@ -309,7 +309,7 @@
         self.reader = AjpReader(owner, executor, config)
         self.connections: set[AjpConnection] = set()
         self.draining = False
-        self.door: Door | None = None
+        self.admission: Admission | None = None
         self.numbers = itertools.count(1)
         self.listening = Listening(loop, config.listen, self._accepted, max_connections, log, sock,
                                    self._make_room)
--- a/ochrehoist/net/selfmeasure.py
+++ b/ochrehoist/net/selfmeasure.py
@@ -1,4 +1,4 @@
-"""Measures this process for the watch, ten times a second, and carries out what the door and the limits say.
+"""Measures this process for the watch, ten times a second, and carries out what admission and the limits say.
 
 Only where [overload] is on: it is imported by nothing else.
 """
@@ -14,7 +14,7 @@
 from ochrehoist.core.figures import counted
 from ochrehoist.core.owner import Owner
 from ochrehoist.interface import Settings
-from ochrehoist.limits.door import Door
+from ochrehoist.limits.admission import Admission
 from ochrehoist.limits.limiter import Limiter
 from ochrehoist.limits.watch import LOOK_S, Parts, Sample, Watch
 from ochrehoist.net.loop import Loop
@@ -25,19 +25,19 @@
 
 
 class SelfMeasure:
-    """Binds the loop's meter, the watch, the door and the limiter of one worker together."""
+    """Binds the loop's meter, the watch, admission and the limiter of one worker together."""
 
     def __init__(self, loop: Loop, owner: Owner, config: OverloadConfig, memory_mb: float, fronts: list,
                  log: Any) -> None:
         self.loop, self.owner, self.log, self.fronts = loop, owner, log, fronts
         self.watch = Watch(int(memory_mb * 1e6))
-        self.door = Door(self.watch, owner.settings, owner.seed) if config.door else None
+        self.admission = Admission(self.watch, owner.settings, owner.seed) if config.admission else None
         self.limiter = owner.limiter = Limiter(config, owner.settings, owner.seed)
         self.parts = Parts()
         owner.step = self.parts.timed("deciding", owner.step)
         owner.answers.send = self.parts.timed("answering", owner.answers.send)
         for front in fronts:
-            front.door = self.door
+            front.admission = self.admission
             front.reader.request = self.parts.timed("reading", front.reader.request)
         self.cpu, self.busy, self.late = time.process_time(), 0.0, 0.0
         self.looked = self.said = time.monotonic()
@@ -52,8 +52,8 @@
         if config is not None:
             self.limiter.config = config
         self.limiter.configure(settings)
-        if self.door is not None:
-            self.door.configure(settings)
+        if self.admission is not None:
+            self.admission.configure(settings)
 
     # ---- measuring
     def _round(self, took: float, late: float) -> None:
@@ -68,8 +68,8 @@
         now, cpu = time.monotonic(), time.process_time()
         span, self.looked = max(1e-3, now - self.looked), now
         let_in = shed = 0
-        if self.door is not None:
-            let_in, shed = self.door.look(LOOK_S)
+        if self.admission is not None:
+            let_in, shed = self.admission.look(LOOK_S)
         # A look that comes late is itself what waited.
         late = max(self.late, span - LOOK_S)
         sends = self.owner.figures.total("sends_total")
@@ -103,9 +103,9 @@
         if self.watch.behind == self.behind and not (self.behind and now - self.said > SAID_S):
             return
         self.said = now
-        event = "behind: shedding at the door" if self.watch.behind else "no longer behind"
+        event = "behind: shedding at admission" if self.watch.behind else "no longer behind"
         self.behind = self.watch.behind
-        shed = sum(self.door.counts.shed.values()) if self.door is not None else 0
+        shed = sum(self.admission.counts.shed.values()) if self.admission is not None else 0
         self.log.warning(event, shed=shed, **self.watch.view())
 
     # ---- for operators
@@ -113,8 +113,8 @@
         out = {"loop": self.watch.view(), "running": self.limiter.view(),
                "time_s": {name: round(spent, 3) for name, spent in self.parts.spent.items()},
                "memory_bytes": self._memory()}
-        if self.door is not None:
-            out["door"] = self.door.view()
+        if self.admission is not None:
+            out["admission"] = out["door"] = self.admission.view()  # its older name: tools may read it
         return out
 
     def _memory(self) -> dict[str, int]:
@@ -134,9 +134,9 @@
         values["app_behind"] = [("", int(w.behind))]
         values["app_affordable_per_second"] = [("", w.rate)] if w.rate != float("inf") else []
         values["app_running_limit"] = [("", self.limiter.controller.limit)]
-        if self.door is not None:
+        if self.admission is not None:
             values["app_shed_total"] = [(f'{{group="{cls}",reason="{why}"}}', n)
-                                        for (cls, why), n in sorted(self.door.counts.shed.items())]
+                                        for (cls, why), n in sorted(self.admission.counts.shed.items())]
         values["app_repeats_denied_total"] = [("", self.limiter.storms.denied)]
         return counted(values)
 
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ochrehoist.core.owner import Owner
-from ochrehoist.core.requests import Arrived, Door, Executor, Gone, Inbound, Reason, Result
+from ochrehoist.core.requests import Admission, Arrived, Executor, Gone, Inbound, Reason, Result
 from ochrehoist.interface import Repeat, RequestClass, Settings
 from ochrehoist.net import thrift
 from ochrehoist.net.listener import Listening, Pace, close_least
@@ -172,7 +172,7 @@
         self.spoilt = False  # what comes can't be read any more; what is open is still answered
         self.calls = 0  # requests read
         self.answered = self.served = False  # once at least
-        self.turned_away = bytearray()  # answers of the door, sent together
+        self.turned_away = bytearray()  # refusals by admission, sent together
         self.pace = Pace(front.loop)
         stream.on_close = lambda: front.closed(self)
 
@@ -271,7 +271,7 @@
                 raise Closed
             if len(self.open) >= MAX_OPEN:
                 raise thrift.BadArguments("too many requests open")
-            if self.front.door is not None and self._at_the_door(m.seqid, values):
+            if self.front.admission is not None and self._ask_admission(m.seqid, values):
                 return
             responder = ThriftResponder(self, m.seqid)
             request = self.front.reader.request(values, body, responder)
@@ -286,15 +286,15 @@
         self.open[m.seqid] = request.id
         self.front.owner.post(Arrived(request))
 
-    def _at_the_door(self, seqid: int, values: dict[bytes, bytes]) -> bool:
+    def _ask_admission(self, seqid: int, values: dict[bytes, bytes]) -> bool:
         """Turns away what the worker is too far behind to decide on, by as little of it as can be read."""
-        front, door = self.front, self.front.door
+        front, admission = self.front, self.front.admission
         cls = front.names.get(values.get(b"method", b""))
         if cls is None or not front.owner.decides:
             return False
         tenant, t0, peer = values.get(b"acct"), values.get(b"t0", b""), values.get(b"peer", b"")
         age = time.time_ns() - int(t0) * MS if t0.isdigit() and len(t0) <= 15 else 0
-        backoff = door.admits(cls, tenant and tenant.decode("latin-1"),
+        backoff = admission.admits(cls, tenant and tenant.decode("latin-1"),
                               int(peer) if peer.isdigit() and len(peer) <= 9 else 0, age)
         if backoff is None:
             return False
@@ -336,7 +336,7 @@
         self.connections: set[Connection] = set()
         self.max_unsent = max_unsent  # bytes of all answers that are not taken yet
         self.draining = False
-        self.door: Door | None = None
+        self.admission: Admission | None = None
         self.names: dict[bytes, str] = {}  # classes by what is on the wire
         self.configure(owner.settings)
         self.idle: float = owner.settings.idle / 1e9
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,4 +1,4 @@
-"""The limits: sharing out, the watch, the door, ways to find a limit, pools, the lane and budgets, as the
+"""The limits: sharing out, the watch, admission, ways to find a limit, pools, the lane and budgets, as the
 pure modules that they are; and what the decision module makes of them."""
 
 import itertools
@@ -12,9 +12,9 @@
 from ochrehoist import interface as i
 from ochrehoist.config import OverloadConfig
 from ochrehoist.core.requests import Inbound
+from ochrehoist.limits.admission import FLOOR, Admission
 from ochrehoist.limits.allot import Ask, allot
 from ochrehoist.limits.controllers import CONTROLLERS, Bounds, Seek, Window, Windows
-from ochrehoist.limits.door import FLOOR, Door
 from ochrehoist.limits.limiter import Limiter
 from ochrehoist.limits.outliers import Outliers
 from ochrehoist.limits.pools import SEEN_S, Seen, cheap, limits
@@ -145,7 +145,7 @@
         watch, turns = self.loaded(500, 5, watch, start=6.0)
         self.assertFalse(watch.behind)
 
-    def test_memory_closes_the_door_before_the_limit(self):
+    def test_memory_closes_admission_before_the_limit(self):
         watch = Watch(100_000_000)
         rates = []
         for mb in (50, 79, 85, 90, 95, 99):
@@ -164,66 +164,67 @@
         self.assertGreater(parts.spent["inner"], parts.spent["outer"])
 
 
-class TheDoor(unittest.TestCase):
-    def door(self, rate, behind=True):
+class TheAdmission(unittest.TestCase):
+    def admission(self, rate, behind=True):
         watch = Watch(100_000_000)
         watch.behind, watch.rate = behind, rate
-        return Door(watch, SITE, 1)
+        return Admission(watch, SITE, 1)
 
-    def played(self, door, load, looks=40, count_from=20):
+    def played(self, admission, load, looks=40, count_from=20):
         """`load`: requests a look, by (class, tenant, caller); how many of each are let in, a look."""
         let_in = dict.fromkeys(load, 0)
         for n in range(looks):
             come = [g for g, many in load.items() for _ in range(many)]
             Random(n).shuffle(come)
             for g in come:
-                if door.admits(*g, 0) is None and n >= count_from:
+                if admission.admits(*g, 0) is None and n >= count_from:
                     let_in[g] += 1
-            door.look(LOOK_S)
+            admission.look(LOOK_S)
         return {g: n / (looks - count_from) for g, n in let_in.items()}
 
     def test_it_is_open_while_the_worker_keeps_up(self):
-        door = self.door(1.0, behind=False)
-        self.assertEqual(self.played(door, {("read", "a", 1): 500})["read", "a", 1], 500)
+        admission = self.admission(1.0, behind=False)
+        self.assertEqual(self.played(admission, {("read", "a", 1): 500})["read", "a", 1], 500)
 
     def test_filings_always_get_in_and_take_theirs_off_the_rest(self):
-        let_in = self.played(self.door(1000), {("filing", "a", 1): 60, ("read", "a", 1): 500})
+        let_in = self.played(self.admission(1000), {("filing", "a", 1): 60, ("read", "a", 1): 500})
         self.assertEqual(let_in["filing", "a", 1], 60)
         self.assertAlmostEqual(let_in["read", "a", 1], 40, delta=6)
 
     def test_by_worth_but_no_class_starves(self):
-        let_in = self.played(self.door(1000), {("read", "a", 1): 300, ("low", "a", 1): 300})
+        let_in = self.played(self.admission(1000), {("read", "a", 1): 300, ("low", "a", 1): 300})
         self.assertGreater(let_in["read", "a", 1], 85)
         self.assertGreaterEqual(let_in["low", "a", 1], 0.9 * FLOOR * 100)
 
     def test_a_flood_of_one_caller_or_tenant_takes_nothing_from_another(self):
         load = {("read", "a", 1): 900, ("read", "a", 2): 20, ("read", "b", 3): 20}
-        let_in = self.played(self.door(1000), load)
+        let_in = self.played(self.admission(1000), load)
         self.assertGreaterEqual(let_in["read", "a", 2], 19)
         self.assertGreaterEqual(let_in["read", "b", 3], 19)
-        shares = self.played(self.door(1000), {("read", "a", 1): 500, ("read", "b", 2): 500})
+        shares = self.played(self.admission(1000), {("read", "a", 1): 500, ("read", "b", 2): 500})
         self.assertAlmostEqual(shares["read", "a", 1] / shares["read", "b", 2], 3.0, delta=0.5)
 
     def test_who_asks_seldom_gets_in_and_all_together_no_more_than_can_be_done(self):
         load = {("read", "a", n): 2 for n in range(300)}
-        let_in = self.played(self.door(1000), load, looks=200, count_from=100)
+        let_in = self.played(self.admission(1000), load, looks=200, count_from=100)
         self.assertGreater(min(let_in.values()), 0.0)
         self.assertAlmostEqual(sum(let_in.values()), 100, delta=20)
 
     def test_read_too_late_is_told_so_and_all_are_told_when_to_come_back_at_different_times(self):
-        door = self.door(10_000)
-        self.assertIsNotNone(door.admits("read", "a", 1, 2 * S))
-        told = {door.admits("read", "a", 1, 3 * S) for _ in range(50)}
+        admission = self.admission(10_000)
+        self.assertIsNotNone(admission.admits("read", "a", 1, 2 * S))
+        told = {admission.admits("read", "a", 1, 3 * S) for _ in range(50)}
         self.assertGreater(len(told), 40)
         self.assertTrue(all(S // 2 <= backoff <= S for backoff in told))
-        self.assertEqual(door.since_look.shed["read", "read too late"], 51)
+        self.assertEqual(admission.since_look.shed["read", "read too late"], 51)
 
     def test_new_settings_are_taken_while_it_sheds(self):
-        door = self.door(0.0)
-        door.admits("read", "a", 1, 0)
-        door.configure(i.Settings(classes=(FILING,), cores=4, memory_kb=1e6, tip_multiple=8.0, fall=S))
-        self.assertIsNone(door.admits("read", "a", 1, 0))  # of a class that is gone only the core can speak
-        door.look(LOOK_S)
+        admission = self.admission(0.0)
+        admission.admits("read", "a", 1, 0)
+        admission.configure(i.Settings(classes=(FILING,), cores=4, memory_kb=1e6, tip_multiple=8.0, fall=S))
+        # Of a class that is gone only the core can speak.
+        self.assertIsNone(admission.admits("read", "a", 1, 0))
+        admission.look(LOOK_S)
 
 
 class FindingALimit(unittest.TestCase):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -80,10 +80,10 @@
             time.sleep(0.02)
         return status
 
-    def test_a_flood_is_shed_at_the_door_filings_are_served_and_it_is_over_once_the_flood_ends(self):
+    def test_a_flood_is_shed_at_admission_filings_are_served_and_it_is_over_once_the_flood_ends(self):
         program = self.program()
         flood = Flood(program.at["ThriftFront"])
-        self.until(program, lambda s: s["overload"]["door"]["shed"])
+        self.until(program, lambda s: s["overload"]["admission"]["shed"])
         client, served = program.thrift(), 0
         for n in range(12):
             kind = client.call(method="filing", token=f"{n:032x}")[0]
@@ -92,8 +92,8 @@
             client.ping()
             self.assertTrue(client.good)
         self.assertGreater(served, 0)
-        status = self.until(program, lambda s: sum(s["overload"]["door"]["shed"].values()) > 200)
-        self.assertFalse([g for g in status["overload"]["door"]["shed"] if g.startswith("filing")])
+        status = self.until(program, lambda s: sum(s["overload"]["admission"]["shed"].values()) > 200)
+        self.assertFalse([g for g in status["overload"]["admission"]["shed"] if g.startswith("filing")])
         flood.end()
         self.assertEqual(flood.faults, [])
         self.assertEqual(sum(flood.kinds.values()), flood.sent)
@@ -104,18 +104,18 @@
         counted = after["served"] + after["refused"] + after["failed"]
         self.assertEqual(counted, flood.sent + 12)
         self.assertEqual(program.thrift().call()[0], "Answer")
-        self.assertTrue(program.said("behind: shedding at the door"))
+        self.assertTrue(program.said("behind: shedding at admission"))
         self.assertTrue(program.said("no longer behind"))
         text = program.operator(path="/status/metrics")[1]
         for name in ("app_loop_delay_seconds", "app_behind 0", 'app_shed_total{group="read",reason='):
             self.assertIn(name, text)
 
-    def test_both_fronts_go_by_the_same_door_and_a_repeat_of_what_ran_gets_its_result(self):
+    def test_both_fronts_go_by_the_same_admission_and_a_repeat_of_what_ran_gets_its_result(self):
         program = self.program(ajp=True, server=InstantServer())
         first = program.thrift().call(method="filing", token="0" * 31 + "1")
         self.assertEqual(first[0], "Answer")
         flood = Flood(program.at["ThriftFront"])
-        self.until(program, lambda s: s["overload"]["door"]["shed"])
+        self.until(program, lambda s: s["overload"]["admission"]["shed"])
         web, refused = program.ajp(), 0
         end = time.monotonic() + PATIENCE
         while not refused and time.monotonic() < end:
@@ -182,7 +182,9 @@
 
     def test_each_fault_is_named_by_its_key(self):
         whole = (ROOT / "deploy/ajp.toml").read_text()
-        for table, key in (("door = 1", "overload.door"), ('controller = "best"', "overload.controller"),
+        for table, key in (("admission = 1", "overload.admission"), ("door = 1", "overload.door"),
+                           ("door = false\nadmission = false", "overload.door"),
+                           ('controller = "best"', "overload.controller"),
                            ("most_running = 900", "overload.most_running"), ("lan = true", "overload.lan"),
                            ("least_running = 9\nmost_running = 4", "overload.least_running")):
             with self.subTest(table):
@@ -191,6 +193,14 @@
                     load_appliance(path, {})
                 self.assertIn(key, str(raised.exception))
 
+    def test_the_older_name_of_a_key_is_still_taken(self):
+        whole = (ROOT / "deploy/ajp.toml").read_text()
+        for table, told in (("", True), ("admission = false", False), ("door = false", False),
+                            ("door = true", True)):
+            with self.subTest(table):
+                config = load_appliance(self.write(whole + f"\n[overload]\n{table}\n"), {})
+                self.assertIs(config.overload.admission, told)
+
     def write(self, text):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
