--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -191,8 +191,11 @@
 def _overload(top: Reader, settings: Settings) -> OverloadConfig | None:
     if "overload" not in top.data:
         return None
-    r = only(top.part("overload"), "door", "pools", "controller", "least_running", "most_running", "lane",
-              "retries")
+    r = only(top.part("overload"), "admission", "door", "pools", "controller", "least_running",
+              "most_running", "lane", "retries")
+    admission = "door" if "door" in r.data else "admission"  # as it was called before
+    if {"door", "admission"} <= r.data.keys():
+        raise BadInput(f"setting {r.path}door: the older name of admission, which is there too")
     survives = int(settings.cores * settings.tip_multiple)
     least, most = (r.whole(key, 0) or None for key in ("least_running", "most_running"))
     if most is not None and most > survives:
@@ -200,7 +203,7 @@
     if (least or 1) > (most or survives):
         raise BadInput(f"setting {r.path}least_running: over the most that may run: {least}")
     return OverloadConfig(
-        door=r.flag("door", True), pools=r.flag("pools", True), least=least, most=most,
+        admission=r.flag(admission, True), pools=r.flag("pools", True), least=least, most=most,
         controller=r.choice("controller", {name: name for name in CONTROLLERS}, CONTROLLERS[0]),
         lane=r.flag("lane", False), retries=r.flag("retries", False))
 
--- a/ochrehoist/config_types.py
+++ b/ochrehoist/config_types.py
@@ -82,7 +82,7 @@
 class OverloadConfig:
     """What a worker does with what it measures of itself; each part can be switched off by itself."""
 
-    door: bool = True  # turns away at the door what it is too far behind to decide on
+    admission: bool = True  # turns away early what it is too far behind to decide on
     pools: bool = True  # limits what runs, by what completes, and keeps floors for classes
     controller: str = "module"  # how the limit is found; one of CONTROLLERS
     least: int | None = None  # running at once; by default a quarter of the cores
