Find the route of a request by an index, and prepare a change of the AJP front in steps

AjpFront.prepare builds what a changed configuration needs in such steps and gives the call that brings it into force; configure runs it through at the start. Rules that are the same tuple keep their index. Tenants are asked of the core, so that there is no second set of their names. The memory of bodies coming in is a running sum; it was summed over all connections at each piece of a body.

The test that a body's memory is free again was red with the release at a connection's end taken out.

--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -5,8 +5,7 @@
 import secrets
 import socket
 import time
-from collections.abc import Callable
-from fnmatch import fnmatchcase
+from collections.abc import Callable, Generator
 from hashlib import sha256
 from http import HTTPStatus
 from typing import Any
@@ -21,6 +20,7 @@
 from ochrehoist.net.listener import Listening, Pace, close_least
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import Closed, Stream, TimedOut
+from ochrehoist.routes import RouteIndex
 
 S = 1_000_000_000
 STUCK = 1.0  # s without a byte after which a packet that was begun is taken for one that won't come
@@ -52,15 +52,34 @@
 
     def __init__(self, owner: Owner, executor: Executor, config: AjpConfig) -> None:
         self.owner, self.executor = owner, executor
+        self.config: AjpConfig | None = None
+        self.index = RouteIndex()
         self.configure(config, owner.settings)
         self.ids = itertools.count(1)
         self.process = secrets.token_hex(4)  # ids must differ from those of a process that this one replaces
 
+    def prepare(self, config: AjpConfig, settings: Settings) -> Generator[None, None, Callable[[], None]]:
+        """In steps that are well under 1 ms each; nothing changes before the call that it gives."""
+        index = self.index
+        if self.config is None or config.rules is not self.config.rules:
+            index = yield from RouteIndex.in_steps(config.rules)
+        classes = {c.name: c for c in settings.classes}
+        longest_secret = max(len(s.secret.encode()) + 4 if s.secret else 0 for s in config.servers)
+
+        def commit() -> None:
+            self.config, self.index, self.classes = config, index, classes
+            self.longest_secret = longest_secret
+
+        return commit
+
     def configure(self, config: AjpConfig, settings: Settings) -> None:
-        self.config = config
-        self.classes = {c.name: c for c in settings.classes}
-        self.tenants = {t.name for t in settings.tenants}
-        self.longest_secret = max(len(s.secret.encode()) + 4 if s.secret else 0 for s in config.servers)
+        """At once, as at the start."""
+        steps = self.prepare(config, settings)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                return end.value()
 
     def check(self, f: ajp.Forward) -> tuple[RequestClass, str | None, str | None]:
         """Class, tenant and filing key, before any of the body is read."""
@@ -68,10 +87,10 @@
         if secret is not None and not hmac.compare_digest(secret.encode(), f.secret or b""):
             raise Rejected(HTTPStatus.FORBIDDEN, "wrong secret")
         path = f.uri.split(b"?")[0].split(b";")[0].decode("latin-1")
-        cls = next((self.classes[r.kind] for r in self.config.rules
-                     if (not r.methods or f.method in r.methods) and fnmatchcase(path, r.uri)), None)
-        if cls is None:
+        rule = self.index.find(f.method, path)
+        if rule is None:
             raise Rejected(HTTPStatus.NOT_FOUND, "no class for this request")
+        cls = self.classes[rule.kind]
         try:
             return cls, *self._details(f, cls)
         except Rejected as error:
@@ -84,7 +103,8 @@
         if len(f.packet) + self.longest_secret > self.config.packet_size - ajp.HEAD:
             raise Rejected(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "no room for the server's secret")
         tenant = _text(f, self.config.tenant_header) or self.config.default_tenant
-        if tenant is not None and self.tenants and tenant not in self.tenants:
+        known = self.owner.tenants
+        if tenant is not None and known and tenant not in known:
             raise Rejected(HTTPStatus.BAD_REQUEST, "unknown tenant")
         token = _text(f, self.config.key_header).strip()
         if len(token) > 1 and token[0] == token[-1] == '"':  # the header's own form is a quoted string
@@ -193,7 +213,8 @@
                 elif kind == ajp.FORWARD:
                     self.in_hand = True
                     self._forward(ajp.forward(packet), arrived)
-                    self.in_hand, self.body_bytes = False, 0
+                    self.in_hand = False
+                    self._hold(0)
                     self.used_at = time.monotonic()
                 elif kind not in (ajp.SHUTDOWN, ajp.PING):  # asked by nobody who may: passed over
                     raise ajp.BadPacket(f"an unexpected packet {kind}")
@@ -202,6 +223,7 @@
         except ajp.BadPacket as error:  # ends this connection only
             self.front.log.warning("bad AJP packet", why=str(error))
         finally:
+            self._hold(0)
             self.stream.close_when_sent()
 
     def _forward(self, f: ajp.Forward, arrived: int) -> None:
@@ -284,8 +306,12 @@
 
     def _book(self, size: int) -> None:
         """Bodies that come in at once share a bounded memory: what finds none left is turned away."""
-        if sum(c.body_bytes for c in self.front.connections) - self.body_bytes + size > self.front.max_bytes:
+        if self.front.body_bytes - self.body_bytes + size > self.front.max_bytes:
             raise Rejected(HTTPStatus.SERVICE_UNAVAILABLE, "no memory for its body, never run")
+        self._hold(size)
+
+    def _hold(self, size: int) -> None:
+        self.front.body_bytes += size - self.body_bytes
         self.body_bytes = size
 
     def respond(self, head: bytes, body: bytes) -> None:
@@ -308,13 +334,26 @@
         self.max_bytes = max_bytes  # for all bodies coming in, and as much for all responses not yet sent
         self.reader = AjpReader(owner, executor, config)
         self.connections: set[AjpConnection] = set()
+        self.body_bytes = 0  # of all connections
         self.draining = False
         self.admission: Admission | None = None
         self.numbers = itertools.count(1)
         self.listening = Listening(loop, config.listen, self._accepted, max_connections, log, sock,
                                    self._make_room)
 
+    def prepare(self, config: AjpConfig, settings: Settings) -> Generator[None, None, Callable[[], None]]:
+        """What a configuration read again comes to, in short steps; it is in force by the call that it
+        gives. What was checked before that call keeps the class that it was checked with."""
+        take = yield from self.reader.prepare(config, settings)
+
+        def commit() -> None:
+            self.config = config
+            take()
+
+        return commit
+
     def configure(self, config: AjpConfig, settings: Settings) -> None:
+        """At once."""
         self.config = config
         self.reader.configure(config, settings)
 
--- a/tests/test_ajp_front.py
+++ b/tests/test_ajp_front.py
@@ -227,6 +227,45 @@
         waiting.close()
         self.assertEqual(told.call("GET", "/healthz")[0], 200)
 
+    def test_the_memory_of_a_body_is_free_again_however_it_ends(self):
+        def whole(web):
+            web.request("POST", "/reads/1", body=b"x" * 8186)
+            self.server.next()[2]()
+            self.assertEqual(web.answer()[0], 200)
+            web.close()
+
+        def cut(web):
+            web.forward("POST", "/reads/1", length=5 << 20)
+            web.chunk(b"x" * 8186)
+            self.assertEqual(web.asked_for(), 8186)
+            web.close()
+
+        def ended_early(web):
+            web.forward("POST", "/reads/1", length=5 << 20)
+            web.chunk(b"x" * 8186)
+            self.assertEqual(web.asked_for(), 8186)
+            web.chunk(b"")
+            with self.assertRaises(EOFError):
+                web.answer()
+
+        def of_no_told_length(web):
+            web.forward("POST", "/reads/1", {"Transfer-Encoding": "chunked"})
+            web.chunk(b"x" * 8186)
+            self.assertEqual([web.asked_for(), web.asked_for()], [8186, 8186])
+            web.close()
+
+        for end in (whole, cut, ended_early, of_no_told_length):
+            with self.subTest(end.__name__):
+                end(self.program.ajp())
+                self.program.wait_for(lambda status: "'AjpFront': 0" in status["connections"])
+                # Of the 7.68 MB that all have together there is room for this only if all of it is free.
+                web = self.program.ajp()
+                web.forward("POST", "/reads/1", length=6 << 20)
+                web.chunk(b"x" * 8186)
+                self.assertEqual(web.asked_for(), 8186)
+                web.close()
+                self.program.wait_for(lambda status: "'AjpFront': 0" in status["connections"])
+
     def test_a_response_over_the_limit_is_502(self):
         web = self.program.ajp()
         web.request()
