--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -74,12 +74,8 @@
             steps.append((time.perf_counter_ns() - began) / 1e6)
     building = None
     tracemalloc.start()
-    building = RouteIndex.in_steps(rules)
-    try:
-        while True:
-            next(building)
-    except StopIteration as end:
-        index = end.value
+    from ochrehoist.settings import at_once
+    index = at_once(RouteIndex.in_steps(rules))
     out |= {"built_ms": sum(steps), "longest_step_ms": max(steps),
             "bytes_a_route": tracemalloc.get_traced_memory()[0] / size}
 json.dump(out, sys.stdout)
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -21,6 +21,7 @@
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import Closed, Stream, TimedOut
 from ochrehoist.routes import RouteIndex
+from ochrehoist.settings import at_once
 
 S = 1_000_000_000
 STUCK = 1.0  # s without a byte after which a packet that was begun is taken for one that won't come
@@ -74,12 +75,7 @@
 
     def configure(self, config: AjpConfig, settings: Settings) -> None:
         """At once, as at the start."""
-        steps = self.prepare(config, settings)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as end:
-                return end.value()
+        at_once(self.prepare(config, settings))()
 
     def check(self, f: ajp.Forward) -> tuple[RequestClass, str | None, str | None]:
         """Class, tenant and filing key, before any of the body is read."""
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -14,18 +14,11 @@
 from ochrehoist.net import ajp
 from ochrehoist.net.ajp_front import AjpReader, Rejected
 from ochrehoist.routes import RouteIndex
+from ochrehoist.settings import at_once
 
 SIZES = (38, 380, 3800)
 
 
-def whole(steps):
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            return end.value
-
-
 def plain(rules, method, path):
     """As it is defined: the first that fits, by the whole list."""
     return next((r for r in rules if (not r.methods or method in r.methods) and fnmatchcase(path, r.uri)),
@@ -59,7 +52,7 @@
     @given(st.data())
     def test_as_the_plain_search_over_random_tables_and_paths(self, data):
         table = tuple(data.draw(tables))
-        index = whole(RouteIndex.in_steps(table))
+        index = at_once(RouteIndex.in_steps(table))
         asked = data.draw(st.lists(paths, max_size=3))
         if table:
             asked.append(data.draw(st.sampled_from(table).flatmap(lambda r: fitting(r.uri))))
@@ -75,12 +68,12 @@
                  "/eu", "x", "ax", "/axa", "/a//z", "/a/c/z", "//")
         for n in range(len(forms)):
             for table in (forms[n:n + 1], forms[n:], forms[:n + 1][::-1]):
-                index = whole(RouteIndex.in_steps(table))
+                index = at_once(RouteIndex.in_steps(table))
                 for path in asked:
                     self.assertIs(index.find("GET", path), plain(table, "GET", path), (table, path))
 
     def test_the_ends_of_a_pattern_never_share_a_part_of_the_path(self):
-        index = whole(RouteIndex.in_steps(rules("/aba*aba", "/x*x*x")))
+        index = at_once(RouteIndex.in_steps(rules("/aba*aba", "/x*x*x")))
         self.assertIsNone(index.find("GET", "/aba"))
         self.assertIsNone(index.find("GET", "/ababa"))
         self.assertIsNone(index.find("GET", "/xx"))
@@ -90,7 +83,7 @@
     def test_a_route_shadows_those_behind_it_for_its_methods_only(self):
         for first in ("/a/*", "/*", "/a/b", "/a/*b", "/a/?"):
             table = rules((first, ("GET", "HEAD")), "/a/b", "/a/*", "/a*b")
-            index = whole(RouteIndex.in_steps(table))
+            index = at_once(RouteIndex.in_steps(table))
             self.assertEqual([index.find(m, "/a/b").kind for m in METHODS], ["0", "0", "1", "1", "1"], first)
             self.assertEqual(index.find("POST", "/a/c").kind, "2")
             self.assertEqual(index.find("POST", "/ab").kind, "3")
@@ -98,7 +91,7 @@
     def test_of_many_with_the_same_uri_the_first_whose_methods_fit(self):
         for uri in ("/a", "/a*", "/*a", "/[a]"):
             table = rules((uri, ("GET",)), (uri, ("GET", "POST")), (uri, ()), (uri, ("PUT",)))
-            index = whole(RouteIndex.in_steps(table))
+            index = at_once(RouteIndex.in_steps(table))
             self.assertEqual([index.find(m, "/a").kind for m in METHODS], ["0", "2", "1", "2", "2"])
 
 
