Run hollow workers over real datagrams in one group beside real ones: lab scale

Needed: what a worker costs in a group of hundreds, on one machine. A hollow worker has the core, the module, the settings' reading and net/peers of a real one, each with a socket of its own on loopback; dozens share one process on one loop.

--- a/ochrehoist/cli/lab.py
+++ b/ochrehoist/cli/lab.py
@@ -11,6 +11,7 @@
 import click
 
 from ochrehoist.cli.common import NO, WRONG, end, stops
+from ochrehoist.cli.scale import scale
 
 SCENARIOS = Path(__file__).parent.parent / "lab" / "scenarios"
 
@@ -69,6 +70,9 @@
     """Real workers on this machine, every link through a relay, with faults between them."""
 
 
+lab.add_command(scale)
+
+
 @lab.command("list")
 @stops(_told)
 def list_() -> None:
--- /dev/null
+++ b/ochrehoist/lab/hollow.py
@@ -0,0 +1,464 @@
+"""Hollow workers: many in one process, each with a worker's own core, module, settings and peers, over real
+datagrams; without clients, servers and listeners. `Shell` is the process: orders on its standard input, one
+JSON object a line, each answered by a line. It ends with its input, its parent, its time, or an order.
+
+It imports only what the program itself has, so that it can run the parts of an earlier tree (PYTHONPATH).
+"""
+
+import ctypes
+import json
+import os
+import resource
+import select
+import signal
+import socket
+import sys
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+from greenlet import GreenletExit
+
+from ochrehoist import config as configuration
+from ochrehoist.config import Config
+from ochrehoist.core.owner import Owner
+from ochrehoist.core.requests import Booted
+from ochrehoist.interface import Alarm, Event
+from ochrehoist.lab.toml import toml
+from ochrehoist.net.ajp_front import AjpReader
+from ochrehoist.net.ajp_server import AjpServers
+from ochrehoist.net.loop import Loop, Signal, steady_clock
+from ochrehoist.net.peers import Peers
+from ochrehoist.peers.members import ALIVE
+from ochrehoist.reload import Reloading
+from ochrehoist.worker import BODY_SHARE, RESULT_SHARE
+
+PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
+BEATS = 256  # of the module, whose cost is kept
+RUN_S = 0.05  # of a run that is only told of
+TAKEN_LOOK_S = 0.005  # between two looks whether a change is in force
+Address = tuple[str, int]
+Tell = Callable[[dict[str, Any]], None]  # answers an order, now or later
+
+
+LIBC = ctypes.CDLL(None)
+
+
+def die_with_parent() -> None:
+    """Linux: this process is killed when the one that started it ends, however that ends."""
+    LIBC.prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
+
+
+def address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def resident_kb() -> int:
+    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE_KB
+
+
+class SlowClock:
+    """Steady and wall clock at a part of their speed: so many can share a core without being late."""
+
+    def __init__(self, pace: float) -> None:
+        self.pace = pace
+        self.real = time.monotonic_ns
+        self.began, self.wall = time.monotonic_ns(), time.time_ns()
+
+    def passed(self) -> int:
+        return int((self.real() - self.began) * self.pace)
+
+    def set(self) -> None:
+        if self.pace == 1:
+            return
+        time.monotonic_ns = lambda: self.began + self.passed()
+        time.monotonic = lambda: (self.began + self.passed()) / 1e9
+        time.time_ns = lambda: self.wall + self.passed()
+        time.time = lambda: (self.wall + self.passed()) / 1e9
+
+
+class Poll:
+    """`select.epoll` in place of `select.poll`: its cost does not grow with descriptors, of which a real
+    worker has few. Waits are told in ms of the slow clock."""
+
+    def __init__(self, pace: float) -> None:
+        self.epoll, self.pace = select.epoll(), pace
+
+    def register(self, fd: int, events: int) -> None:
+        try:
+            self.epoll.register(fd, events)
+        except FileExistsError:
+            self.epoll.modify(fd, events)
+
+    def unregister(self, fd: int) -> None:
+        try:
+            self.epoll.unregister(fd)
+        except OSError:  # closed before
+            raise KeyError(fd) from None
+
+    def poll(self, wait: float | None = None) -> list[tuple[int, int]]:
+        return self.epoll.poll(None if wait is None else wait / 1000 / self.pace)
+
+
+class Log:
+    """Counts faults; says nothing: hundreds of logs are nobody's to read."""
+
+    def __init__(self) -> None:
+        self.faults: Counter = Counter()
+
+    def bind(self, **_: Any) -> "Log":
+        return self
+
+    def info(self, event: str, **_: Any) -> None:
+        pass
+
+    debug = warning = info
+
+    def error(self, event: str, **more: Any) -> None:
+        self.faults[f"{event}: {more['why']}" if "why" in more else event] += 1
+
+    def exception(self, event: str, **_: Any) -> None:
+        self.faults[f"{event}: {sys.exc_info()[1]!r}"] += 1
+
+
+class Network:
+    """Which datagrams pass: none between those inside and outside a cut."""
+
+    def __init__(self) -> None:
+        self.cuts: list[frozenset[Address]] = []
+
+    def passes(self, a: Address, b: Address) -> bool:
+        return all((a in cut) == (b in cut) for cut in self.cuts)
+
+
+class Link:
+    """A worker's datagram socket on that network."""
+
+    def __init__(self, sock: socket.socket, network: Network, address: Address) -> None:
+        self.sock, self.network, self.address = sock, network, address
+        self.fileno, self.close, self.getsockname = sock.fileno, sock.close, sock.getsockname
+        self.received = 0
+
+    def sendto(self, data: bytes, to: Address) -> int:
+        if self.network.cuts and not self.network.passes(self.address, to):
+            return len(data)  # it leaves, and is lost
+        return self.sock.sendto(data, to)
+
+    def recvfrom(self, most: int) -> tuple[bytes, Address]:
+        while True:
+            data, source = self.sock.recvfrom(most)
+            if not self.network.cuts or self.network.passes(source, self.address):
+                self.received += 1
+                return data, source
+
+
+class HollowPeers(Peers):
+    network: Network
+
+    def start(self) -> None:
+        super().start()
+        if self.sock is not None:
+            self.sock = Link(self.sock, self.network, self.config.listen)
+
+    @property
+    def received(self) -> int:
+        return getattr(self.sock, "received", 0)
+
+
+class MeteredOwner(Owner):
+    """Tells what each beat of the module cost, in s of this thread."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.beats: deque[float] = deque(maxlen=BEATS)
+
+    def tell(self, event: Event, at: int | None = None) -> bool:
+        if type(event) is not Alarm:
+            return super().tell(event, at)
+        began = time.thread_time()
+        done = super().tell(event, at)
+        self.beats.append(time.thread_time() - began)
+        return done
+
+
+class Hollow:
+    """One worker without what is around it. `path`: the file that it reads when told to."""
+
+    def __init__(self, loop: Loop, network: Network, config: Config, path: Path, seed: int, log: Log) -> None:
+        self.loop, self.config, self.path, self.rng = loop, config, path, Random(f"{seed}/{config.name}")
+        self.waker = Signal(loop)
+        bytes_ = int(config.memory_mb * 1e6)
+        self.owner = MeteredOwner(
+            config.settings, seed, self.waker, steady_clock(), time.time_ns, log, int(bytes_ * RESULT_SHARE),
+            lambda: self.servers.measure())
+        self.servers = AjpServers(loop, self.owner, config.ajp, int(bytes_ * BODY_SHARE), log)
+        self.reader = AjpReader(self.owner, self.servers, config.ajp)
+        self.owner.post(Booted(None, 0))
+        self.peers = HollowPeers(loop, self.owner, config, log)
+        self.peers.network = network
+        # The choices of a worker are chance's; here a seed's.
+        self.peers.group.rng, self.peers.group.members.rng = Random(self.rng.random()), Random(
+            self.rng.random())
+        self.owner.listeners.append(self.peers)
+        self.servers.advisor = self.peers
+        self.reloading = Reloading(loop, self.owner, config, str(path), [
+            lambda new: self.servers.configure(new.ajp),
+            lambda new: self.reader.configure(new.ajp, new.settings), self.peers.configure], None, log)
+        self.ended = False
+
+    def start(self) -> None:
+        self.task = self.loop.spawn(self.owner.run)
+        self.peers.start()
+
+    def kill(self) -> None:
+        """As SIGKILL would: no goodbye."""
+        self.ended, self.peers.stopped = True, True
+        if self.peers.sock is not None:
+            self.loop.forget(self.peers.sock.fileno())
+            self.peers.sock.close()
+            self.peers.sock = None
+        self.waker.waiter = None
+        self.task.throw(GreenletExit)
+
+    def use(self, each: float) -> None:
+        """Tells the parts that judge and count of a request that was served, each so many s."""
+        if self.ended:
+            return
+        s, p = self.owner.settings, self.peers
+        request = SimpleNamespace(cls=self.rng.choice(s.classes),
+                                  tenant=self.rng.choice(s.tenants).name if s.tenants else None)
+        p.arrived(request)
+        server = p.order({})[0]
+        ticket = p.began(server, request.cls.name)
+        self.loop.call_later(RUN_S, lambda: self._used(request, ticket))
+        self.loop.call_later(each * self.rng.uniform(0.5, 1.5), lambda: self.use(each))
+
+    def _used(self, request: Any, ticket: int | None) -> None:
+        if ticket is not None:
+            self.peers.ended(ticket, "ok")
+        self.peers.answered(request, "answered_total", 0)
+
+    def alive(self) -> int:
+        return sum(m.state == ALIVE for m in self.peers.group.members.members.values())
+
+    def counters(self) -> dict[str, Any]:
+        """Since its start: bytes, messages and s of processor time for peers."""
+        p, g = self.peers, self.peers.group
+        return {"name": self.config.name, "bytes_out": p.bytes_out, "bytes_in": p.bytes_in, "sent": p.sent,
+                "received": p.received, "peers_cpu_s": p.spent, "alive": self.alive(),
+                "late": g.members.was_late, "deaths": len(g.members.deaths),
+                "rejected": sum(p.rejected.values()),
+                "beats": list(self.owner.beats),
+                "state_bytes": sum(len(m.status) for m in g.members.members.values()),
+                "held": sum(s.holder.amount(time.monotonic()) for s in g.shares.values()),
+                "status": len(g.status)}
+
+
+class Shell:
+    """The process. `spec`: `template` (a file), `workers` (name and peers' table of each), `seed`, `pace`,
+    `limit_s`, `uses` (a second), `folder`."""
+
+    def __init__(self, spec: dict[str, Any]) -> None:
+        self.spec, self.log = spec, Log()
+        self.loop = Loop(self.log)
+        self.loop.poll = Poll(spec["pace"])
+        self.loop.meter = self._round
+        self.network, self.hollows = Network(), {}
+        self.late = self.harness = 0.0
+        self.input = b""
+
+    def run(self) -> None:
+        os.set_blocking(0, False)
+        self.say({"ready": os.getpid()})
+        self.loop.on_readable(0, self._heard)
+        self.loop.run()
+
+    def _round(self, took: float, late: float) -> None:
+        self.late = max(self.late, late)
+
+    def _heard(self) -> None:
+        try:
+            data = os.read(0, 1 << 20)
+        except BlockingIOError:
+            return
+        if not data:
+            return self.loop.stop()
+        *lines, self.input = (self.input + data).split(b"\n")
+        for line in lines:
+            order = json.loads(line)
+            number, do = order.pop("id"), getattr(self, "do_" + order.pop("do"))
+
+            def tell(answer: dict[str, Any], number: int = number) -> None:
+                self.say(answer | {"id": number})
+
+            try:
+                answer = do(tell, **order)
+            except Exception as error:
+                answer = {"error": repr(error)}
+            if answer is not None:
+                tell(answer)
+
+    @staticmethod
+    def say(answer: dict[str, Any]) -> None:
+        sys.stdout.write(json.dumps(answer) + "\n")
+        sys.stdout.flush()
+
+    # ---- orders
+    def do_end(self, tell: Tell) -> dict[str, Any]:
+        self.loop.stop()
+        return {"ended": True}
+
+    def do_empty(self, tell: Tell, seconds: float) -> None:
+        """What this process costs with as many sockets and beats as its hollows, which do nothing."""
+        socks = []
+        for _ in self.spec["workers"]:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sock.bind(("127.0.0.1", 0))
+            self.loop.on_readable(sock.fileno(), lambda: None)
+            socks.append(sock)
+        until = time.monotonic() + seconds
+
+        def beat(each: float) -> None:
+            if time.monotonic() < until:
+                self.loop.call_later(each, lambda: beat(each))
+
+        for n in range(len(socks)):
+            self.loop.call_later(0.05 * n / len(socks), lambda: beat(0.05))
+            self.loop.call_later(0.1 * n / len(socks), lambda: beat(0.1))
+        began = time.process_time()
+
+        def over() -> None:
+            spent = time.process_time() - began
+            for sock in socks:
+                self.loop.forget(sock.fileno())
+                sock.close()
+            tell({"cpu_s": spent, "seconds": seconds})
+
+        self.loop.call_later(seconds, over)
+
+    def do_start(self, tell: Tell, over: float) -> dict[str, Any]:
+        """Begins all, spread over so many s."""
+        before = resident_kb()
+        path = self._file(self.spec["workers"][0])
+        self.config = configuration.load(str(path), {})
+        settings_kb = resident_kb() - before
+        path.unlink()
+        for n, w in enumerate(self.spec["workers"]):
+            self.loop.call_later(over * n / len(self.spec["workers"]), lambda w=w: self._begin(w))
+        return {"base_kb": before, "settings_kb": settings_kb}
+
+    def _begin(self, w: dict[str, Any]) -> None:
+        config, t = self.config, w["peers"]
+        listen, members = address(t["listen"]), {n: address(a) for n, a in t["members"].items()}
+        config = replace(config, name=w["name"], peers=replace(
+            config.peers, listen=listen, address=listen, site=t["site"], members=members))
+        hollow = Hollow(self.loop, self.network, config, self._path(w), self.spec["seed"], self.log)
+        self.hollows[w["name"]] = hollow
+        hollow.start()
+        if self.spec["uses"]:
+            self.loop.call_later(hollow.rng.random() / self.spec["uses"],
+                                 lambda: hollow.use(1 / self.spec["uses"]))
+
+    def do_look(self, tell: Tell) -> dict[str, Any]:
+        """How many others each believes to be alive, and what this process holds."""
+        began = time.thread_time()
+        alive = [h.alive() for h in self.hollows.values()]
+        answer = {"alive": alive, "rss_kb": resident_kb(), "late_s": self.late,
+                  "held": sum(s.holder.amount(time.monotonic()) for h in self.hollows.values()
+                              for s in h.peers.group.shares.values()),
+                  "faults": dict(self.log.faults)}
+        self.late = 0.0
+        self.harness += time.thread_time() - began
+        return answer
+
+    def do_mark(self, tell: Tell) -> dict[str, Any]:
+        began = time.thread_time()
+        hollows = [h.counters() for h in self.hollows.values()]
+        self.harness += time.thread_time() - began
+        return {"at": time.monotonic(), "cpu_s": time.process_time(), "harness_s": self.harness,
+                "hollows": hollows, "rss_kb": resident_kb(),
+                "peak_kb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss}
+
+    def do_cut(self, tell: Tell, inside: list[Address], on: bool) -> dict[str, Any]:
+        cut = frozenset((host, port) for host, port in inside)
+        if on:
+            self.network.cuts.append(cut)
+        else:
+            self.network.cuts.remove(cut)
+        return {"cuts": len(self.network.cuts)}
+
+    def do_restart(self, tell: Tell, names: list[str], down: float) -> dict[str, Any]:
+        """Ends these at once, as SIGKILL would, and begins them again after so many s."""
+        mine = [w for w in self.spec["workers"] if w["name"] in names and w["name"] in self.hollows]
+        for w in mine:
+            self.hollows.pop(w["name"]).kill()
+        for w in mine:
+            self.loop.call_later(down, lambda w=w: self._begin(w))
+        return {"restarted": len(mine)}
+
+    # ---- changes
+    def do_template(self, tell: Tell, text: str) -> dict[str, Any]:
+        self.spec["text"] = text
+        return {"bytes": len(text)}
+
+    def _path(self, w: dict[str, Any]) -> Path:
+        return Path(self.spec["folder"], f"{w['name']}.toml")
+
+    def _file(self, w: dict[str, Any]) -> Path:
+        """Its own file: the common one with its name and its peers' table."""
+        path = self._path(w)
+        path.write_text(f"name = {toml(w['name'])}\npeers = {toml(w['peers'])}\n{self.spec['text']}")
+        return path
+
+    def do_take(self, tell: Tell, quota: float, within: float) -> None:
+        """Each reads its file again, one a turn of the loop; the first tenant's quota tells the version."""
+        waiting = [w for w in self.spec["workers"] if w["name"] in self.hollows]
+        taken: dict[str, Any] = {"held_s": [], "cpu_s": [], "in_force_s": []}
+        until = time.monotonic() + within
+
+        def order() -> None:
+            while waiting and waiting[-1]["name"] not in self.hollows:  # ended meanwhile
+                waiting.pop()
+            if not waiting or time.monotonic() > until:
+                return tell(taken | {"missed": len(waiting)})
+            w = waiting.pop()
+            hollow, path = self.hollows[w["name"]], self._file(w)
+            at, cpu = time.monotonic(), time.thread_time()
+            hollow.reloading.order()
+            taken["held_s"].append(time.monotonic() - at)
+            taken["cpu_s"].append(time.thread_time() - cpu)
+            look(hollow, at, path)
+
+        def look(hollow: Hollow, at: float, path: Path) -> None:
+            in_force = hollow.owner.settings.tenants[0].quota_per_s == quota
+            if not in_force and not hollow.ended and time.monotonic() <= until:
+                self.loop.call_later(TAKEN_LOOK_S, lambda: look(hollow, at, path))
+                return
+            if in_force:
+                taken["in_force_s"].append(time.monotonic() - at)
+            path.unlink(missing_ok=True)
+            self.loop.call_later(0.0, order)
+
+        order()
+
+
+def main(read: Callable[[], str] = sys.stdin.readline) -> None:
+    parent = os.getppid()
+    die_with_parent()
+    if os.getppid() != parent:
+        return
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # Ctrl-C is the parent's, which ends this one
+    spec = json.loads(read())
+    signal.alarm(max(1, int(spec["limit_s"])))  # whatever the loop does, it ends then
+    SlowClock(spec["pace"]).set()
+    Shell(spec).run()
+
+
+if __name__ == "__main__":
+    main()
--- a/ochrehoist/lab/workers.py
+++ b/ochrehoist/lab/workers.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import threading
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -80,6 +81,8 @@
 class Worker:
     """One member. Its configuration is made anew for each start; `root`: the tree that it is run from."""
 
+    before_exec: Callable[[], None] | None = None  # called in the new process before the program takes over
+
     def __init__(self, name: str, scenario: Scenario, folder: Path, root: Path = ROOT) -> None:
         self.name, self.scenario, self.folder, self.root = name, scenario, folder, root
         self.process: subprocess.Popen | None = None
@@ -182,6 +185,7 @@
             env=env,
             stderr=subprocess.PIPE,
             text=True,
+            preexec_fn=self.before_exec,
         )
         up, loop, process = asyncio.Event(), asyncio.get_running_loop(), self.process
         wanted = {self.front, "Operators"} | ({"Peers"} if self.peers is not None else set())
--- a/ochrehoist/plan/pictures.py
+++ b/ochrehoist/plan/pictures.py
@@ -189,9 +189,28 @@
     return [figure]
 
 
+def of_scale(v: Values) -> list[Figure]:
+    figures = []
+    for plot in v["plots"]:
+        if len({x for x, _ in plot["points"]}) < 2:
+            continue
+        figure, (a,) = _drawn(f"{plot['name']}, by members")
+        a.plot([x for x, _ in plot["points"]], [y for _, y in plot["points"]], "o", color=MAIN)
+        if plot["fit"] is not None:
+            ends = [plot["fit"]["from"], plot["fit"]["to"]]
+            a.plot(ends, [plot["fit"]["at_none"] + plot["fit"]["per_member"] * x for x in ends],
+                   color=QUIET, lw=1, ls="--", label="least squares")
+            a.legend(loc="upper left")
+        a.set_ylabel(plot["unit"])
+        a.set_ylim(bottom=0)
+        figures.append(figure)
+    return figures
+
+
 PICTURES: dict[str, Callable[[Values], list[Figure]]] = {
     "forecast": of_forecast, "breaks": of_breaks, "size": of_size, "lose": of_lose, "compare": of_compare,
-    "captures": of_captures, "measure": of_measure, "fit": of_fit, "play": of_play}
+    "captures": of_captures, "measure": of_measure, "fit": of_fit, "play": of_play,
+    "scale": of_scale}
 
 
 def drawn(question: str, values: Values, form: str) -> list[bytes]:
