Say that a check with real workers is none where the machine was late

Seen: with 28 processes running on 8 cores hollow workers were late 260 times in 15 s and real ones not, as the scheduler gives each process its part: factors of 1.2 to 2.3 that say nothing of hollow workers. The empty run took 2 s of the workers' clocks, 100 s of the wall at a pace of 0.02; it takes 2 s of the wall now.

--- a/ochrehoist/lab/scale.py
+++ b/ochrehoist/lab/scale.py
@@ -31,7 +31,7 @@
 MOST_PROCESSES = 300
 LOOK_S = 0.5  # between two looks at who knows whom
 WATCH_S = 0.25  # between two looks at the memory
-EMPTY_S = 2.0
+EMPTY_S = 2.0  # of wall time
 DOWN_S = 1.0  # that a restarted one is away
 LATE_S = 0.25  # as peers.members: from which on a worker was late itself
 SECRET = "the secret of a scale run"
@@ -114,7 +114,7 @@
             raise Bound("real workers know no slow clock: give --pace 1, or --real 0")
         if hollow < 1 or s.real < 0:
             raise Bound("members: fewer than the real ones and one hollow one")
-        self.processes = max(1, min(self.cores, hollow // 8))
+        self.processes = max(1, min(self.cores, hollow // 5))
         if self.processes + s.real > min(s.most_processes, MOST_PROCESSES):
             raise Bound(f"{self.processes + s.real} processes, and at most "
                         f"{min(s.most_processes, MOST_PROCESSES)} are allowed")
@@ -201,7 +201,7 @@
             self.shells.append(Shell(hollow[part::self.processes], spec, self.root))
         tell(0.0, f"starting {len(hollow)} hollow workers in {self.processes} processes, {s.real} real ones")
         await asyncio.gather(*(shell.start() for shell in self.shells))
-        empty = await self._ask("empty", seconds=EMPTY_S)
+        empty = await self._ask("empty", seconds=EMPTY_S * s.pace)
         self.result["empty_cpu_share"] = sum(e["cpu_s"] / e["seconds"] for e in empty) / len(hollow)
         for n in names[len(hollow):]:
             top = {"name": n, "admin": "127.0.0.1:0", "peers": self._peers(n)} | self._common()
@@ -411,6 +411,10 @@
     pairs = {key: (plain[key]["p50"], rest["real"][key]["p50"]) for key in plain}
     own = rest["cpu_share"] - rest["hollow"]["peers_cpu_s"]["mean"]
     pairs["cpu_share"] = own + plain["peers_cpu_s"]["p50"], rest["real"]["cpu_s"]["p50"]
+    run["check_valid"] = not rest["was_late"] and run["join"]["all_s"] is not None
+    if not run["check_valid"]:
+        run["notes"].append("no check: hollow workers were late, or not all knew all; run it on a machine "
+                            "that has less to do")
     run["check"] = {key: {"hollow": a, "real": b, "factor": b / a if a else None,
                           "within": a > 0 and abs(b / a - 1) <= 0.15} for key, (a, b) in pairs.items()}
     return run
--- a/ochrehoist/lab/scale_report.py
+++ b/ochrehoist/lab/scale_report.py
@@ -86,19 +86,13 @@
     return ("Against another result", ["", versions[0], "residual", versions[1], "residual", "times"], rows)
 
 
-def correction(runs: Sequence[Run]) -> dict[str, float]:
-    """By how much real workers exceeded hollow ones in the latest check among these."""
-    checks = [r["check"] for r in runs if "check" in r]
-    return {key: c["factor"] for key, c in checks[-1].items() if c["factor"]} if checks else {}
-
-
 def told_factor(runs: Sequence[Run]) -> list[str]:
     """A line for each figure by which hollow workers are out by more than the check allows."""
-    checks = [r["check"] for r in runs if "check" in r]
+    checks = [r["check"] for r in runs if r.get("check_valid")]
     if not checks:
         return ["not checked against real workers: run `ochrehoist lab scale --check` into the same file"]
-    return [f"{key}: real workers have {c['factor']:.2f} times that of hollow ones; figures are as measured, "
-            "not corrected" for key, c in checks[-1].items() if not c["within"] and c["factor"]]
+    return [f"{key}: real workers have {c['factor']:.2f} times that of as many hollow ones; figures are as "
+            "measured, not corrected" for key, c in checks[-1].items() if not c["within"] and c["factor"]]
 
 
 def lines(run: Run) -> list[str]:
