--- a/ochrehoist/lab/injury.py
+++ b/ochrehoist/lab/fault_injection.py
@@ -6,18 +6,16 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from ochrehoist.lab import judge
 from ochrehoist.lab.relays import Datagrams
-from ochrehoist.lab.scenario import Fault
+from ochrehoist.lab.scenario import Fault, Scenario
 from ochrehoist.lab.workers import Worker
 from ochrehoist.peers import wire
 
-if TYPE_CHECKING:
-    from ochrehoist.lab.play import Play
-
 SECRET = "the laboratory's own secret"
 AFTER_S = 0.5  # s that a fault still counts after its end: what it held up comes then
 TAKE_OVER_S = 10.0  # that operators wait for a new process to serve before they end the old one all the same
@@ -27,10 +25,32 @@
 UNANSWERED = ("pause", "kill", "leave", "crowd")
 
 
-class Injury:
+class Target(Protocol):
+    """What faults are done to: a play, with its processes, links and callers."""
+
+    scenario: Scenario
+    seed: int
+    root: Path
+    folder: Path
+    now: Callable[[], float]
+    workers: dict[str, Worker]
+    twins: list[Worker]
+    services: dict[str, Any]
+    udp: dict[tuple[str, str], Datagrams]
+    tcp: dict[tuple[str, str], Any]
+    callers: Any  # with `factor`, of the usual rate
+
+    async def start(self, w: Worker) -> None: ...
+
+    async def refuse(self, name: str) -> None: ...
+
+    async def another_kernel(self, w: Worker) -> None: ...
+
+
+class FaultInjection:
     """Carries out the faults of one play."""
 
-    def __init__(self, play: "Play") -> None:
+    def __init__(self, play: Target) -> None:
         self.play, self.workers, self.now = play, play.workers, play.now
         self.suffered: list[judge.Fault] = []
         self.hurt: list[judge.Fault] = []  # all that was done, to workers and services, whoever may suffer it
--- a/ochrehoist/lab/play.py
+++ b/ochrehoist/lab/play.py
@@ -12,7 +12,7 @@
 from ochrehoist.lab import judge
 from ochrehoist.lab.callers import MARGIN_S, AjpAsker, Callers
 from ochrehoist.lab.ends import Clock, Run, Server
-from ochrehoist.lab.injury import SECRET, Injury
+from ochrehoist.lab.fault_injection import SECRET, FaultInjection
 from ochrehoist.lab.relays import Connections, Datagrams
 from ochrehoist.lab.scenario import Scenario
 from ochrehoist.lab.workers import ROOT, Worker
@@ -65,7 +65,7 @@
                 tasks += [asyncio.create_task(self.callers.check(name)) for name in self.workers]
                 await asyncio.sleep(2 * s.balancer.check_s)
                 self.now.began = asyncio.get_running_loop().time()
-            faults = [asyncio.create_task(self.injury.do(f)) for f in s.faults]
+            faults = [asyncio.create_task(self.injection.do(f)) for f in s.faults]
             tasks += faults
             await self.callers.run(progress)
             for task in faults:
@@ -128,7 +128,7 @@
             {n: (self.tcp["check", n], self.tcp["front", n]) for n in names},
             lambda n: len(self.workers[n].lives) - 1,
         )
-        self.injury = Injury(self)
+        self.injection = FaultInjection(self)
 
     def _asker(self, name: str) -> Any:
         address = self.tcp["front", name].address
@@ -274,7 +274,7 @@
         # What ran is known to the next process by its store, or by witnesses whatever became of the store.
         known = kept or s.state and s.tables.get("recovery", {}).get("witnesses", 0) > 0
         slack = MARGIN_S + 2 * self.late
-        rules = judge.broken(calls, self.runs, self.injury.suffered, lives, slack, kept, known)
+        rules = judge.broken(calls, self.runs, self.injection.suffered, lives, slack, kept, known)
         budgets = {}
         for b in s.budgets:
             if b.use == "repeats":
@@ -298,7 +298,7 @@
             from ochrehoist.lab import sitejudge
 
             stepped = sitejudge.steps(s, self.statuses)
-            rules += sitejudge.false_alarms(s, self.injury.hurt, self.statuses, self.late)
+            rules += sitejudge.false_alarms(s, self.injection.hurt, self.statuses, self.late)
             rules += sitejudge.at_once(stepped)
         for n, w in self.workers.items():
             faults = [line for line in w.said if line["event"].startswith("fault")]
@@ -312,13 +312,13 @@
             "broken": rules,
             "budgets": budgets,
             "late_s": round(self.late, 3),
-            "events": [[round(at, 2), text] for at, text in self.injury.events],
+            "events": [[round(at, 2), text] for at, text in self.injection.events],
             "final": {n: f.get("peers") for n, f in final.items()},
             "told_at_end": {
                 n: {k: f.get(k) for k in ("sites", "recovery", "store")} for n, f in final.items()
             },
             "judged": self._judged(final),
-            "told": self.injury.answers,
+            "told": self.injection.answers,
             "stepped": [[round(at, 2), *rest] for at, *rest in stepped],
             "known": self._known(),
             "runs_in_faults": judge.runs_by_worker(self.runs, *spans["faults"]),
--- a/ochrehoist/lab/scale.py
+++ b/ochrehoist/lab/scale.py
@@ -26,8 +26,8 @@
 from ochrehoist.lab.workers import ROOT, settings
 
 FAULTS = ("rack", "zone", "region", "restart")
-PARTS = {"rack": 20, "zone": 8, "restart": 10}  # of all members, one part
-VOTERS, SERVERS, BUDGET = 7, 3, 60
+PARTS = {"rack": 20, "restart": 10}  # of all members, one part
+VOTERS, SERVERS, BUDGET, ZONES = 7, 3, 60, 8
 MOST_PROCESSES = 300
 LOOK_S = 0.5  # between two looks at who knows whom
 WATCH_S = 0.25  # between two looks at the memory
@@ -189,9 +189,7 @@
         s = self.spec
         names = [f"w{n:04d}" for n in range(s.members - s.real)] + [f"real{n:03d}" for n in range(s.real)]
         self.places = self._addresses(names)
-        zones = s.regions * max(1, 8 // s.regions)
-        self.zones = {n: f"region{z % s.regions}/zone{z}" for z, n in
-                      ((at % zones, n) for at, n in enumerate(names))}
+        self.zones = self.zoned(names)
         self.scenario: Scenario = parse({
             "name": "scale", "workers": 1, "tenants": {f"tenant{n}": 1000.0 for n in range(s.tenants)}})
         hollow = [{"name": n, "peers": self._peers(n)} for n in names if not n.startswith("real")]
@@ -218,6 +216,10 @@
             met = await self._ask("meet", lives=lives)
             self.result["refused_as_members"] = sum(x["refused"] for x in met)
 
+    def zoned(self, names: list[str]) -> dict[str, str]:
+        """Zones by turns, and regions by turns of zones."""
+        return {n: f"region{at % ZONES % self.spec.regions}/zone{at % ZONES}" for at, n in enumerate(names)}
+
     def _addresses(self, names: list[str]) -> dict[str, str]:
         """An address of loopback for each, as each machine has one; a port that is free there."""
         net = f"127.{self.rng.randint(2, 250) ^ os.getpid() % 128 or 1}"
@@ -322,7 +324,7 @@
         return out
 
     # ---- faults
-    def _struck(self, kind: str) -> list[str]:
+    def struck(self, kind: str) -> list[str]:
         names = [n for n in self.places if not n.startswith("real")]
         if kind == "region":
             return [n for n in names if self.zones[n].startswith("region0/")]
@@ -333,7 +335,7 @@
 
     async def _fault(self, kind: str) -> dict[str, Any]:
         """One fault and its end; the bytes beyond what the rest would have sent in that time."""
-        struck, before = self._struck(kind), await self._marks()
+        struck, before = self.struck(kind), await self._marks()
         if kind == "restart":
             await self._ask("restart", names=struck, down=DOWN_S)
             await self._wait(DOWN_S)
