--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -58,11 +58,11 @@
         out, err = process.communicate(timeout=LONG)
         return process.returncode, out, err
 
-    def with_children(self, *arguments):
-        """A run that has started processes."""
+    def with_children(self, count, *arguments):
+        """A run that has started so many processes."""
         process = self.begin(*arguments)
         until = time.monotonic() + PATIENCE
-        while len(marked(self.mark)) < 2:
+        while len(marked(self.mark)) < 1 + count:
             self.assertLess(time.monotonic(), until)
             self.assertIsNone(process.poll())
             time.sleep(0.02)
@@ -104,14 +104,14 @@
         self.assertIn("processes, and at most 4 are allowed", err)
 
     def test_ctrl_c_ends_all_of_it(self):
-        process = self.with_children("--members", 10, "--seconds", 600)
+        process = self.with_children(1, "--members", 10, "--seconds", 600)
         process.send_signal(signal.SIGINT)
         _, err = process.communicate(timeout=PATIENCE)
         self.assertEqual(process.returncode, 1)
         self.assertIn("all processes of the run are ended", err)
 
     def test_children_end_with_a_run_that_is_killed(self):
-        process = self.with_children("--members", 12, "--real", 2, "--seconds", 600)
+        process = self.with_children(4, "--members", 12, "--real", 2, "--seconds", 600)  # two of each kind
         process.kill()
         process.communicate(timeout=PATIENCE)  # what is left is looked at when the test is over
 
