Cut off no request in parts on a connection whose first answer is not due yet

Lines at fault, net/thrift_front.py: `answered` is set by writes alone, so a connection whose requests wait long, or were all taken back, counts as one that never asked. `Connection._next` then puts the end of the next frame at opened + WHOLE, which is past: its first part ends the connection.

--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -176,6 +176,11 @@
         self.pace = Pace(front.loop)
         stream.on_close = lambda: front.closed(self)
 
+    @property
+    def known(self) -> bool:
+        """Whether it has asked for something, also where all of it was taken back and needed no answer."""
+        return self.answered or self.calls > 0
+
     def run(self) -> None:
         try:
             while True:
@@ -225,7 +230,7 @@
             del buffer[:4 + size]
             return frame
         # A new connection has no more than its first moments for what it has begun.
-        until = (time.monotonic() if self.answered else self.opened) + WHOLE
+        until = (time.monotonic() if self.known else self.opened) + WHOLE
         size = int.from_bytes(self.stream.take(4, until - time.monotonic()), "big")
         if size > MAX_FRAME:
             raise thrift.BadFrame("frame too long")
@@ -412,9 +417,11 @@
             if c.farewelled is not None:
                 if now - max(c.farewelled, used_at) > LINGER and not c.stream.look():
                     c.stream.close_when_sent()
-            elif not c.answered and now - c.opened > WHOLE:
+            elif not c.known and now - c.opened > WHOLE:
                 if not c.stream.look():
                     c.stream.close()  # nothing that could be answered came: nobody waits for anything here
+            elif c.known and not c.answered and idle > LINGER and now - c.opened > WHOLE - LINGER:
+                c.farewell()  # all was taken back: the next request may be on its way
             elif not c.checks_only and (idle > self.idle > 0 or (crowded and c.calls <= 1 and idle > ONCE)):
                 c.farewell()
         if self.bad_frames and now - self.logged > 1:  # one line for all: a flood must not fill the log
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -75,6 +75,46 @@
         program.kernel.reap(program.kernel.next()[0], body=b"answered")
         self.assertEqual(router.answer(seqid), ("Answer", {}, b"answered"))
 
+    def in_parts_behind_one_that_waits(self, taken_back):
+        program = self.start()
+        router = program.thrift()
+        waits = router.invoke(body=b"waits")
+        running, _, body = program.kernel.next()
+        self.assertEqual(body, b"waits")
+        whole = []
+        plain, router.sock = router.sock, Sink(whole)
+        if taken_back:
+            router.abort(waits)
+        seqid = router.invoke(body=b"in parts")
+        router.sock = plain
+        begun, rest = b"".join(whole)[:-60], b"".join(whole)[-60:]
+        program.standing_still(LASTS + 0.2, lambda: router.sock.sendall(begun))
+        for _ in range(3):  # the first part has been read
+            program.thrift().ping()
+        router.sock.sendall(rest)
+        if not taken_back:
+            program.kernel.reap(running, body=b"first")
+            self.assertEqual(router.answer(waits), ("Answer", {}, b"first"))
+        rid, _, body = program.kernel.next()
+        self.assertEqual(body, b"in parts")
+        program.kernel.reap(rid, body=b"answered")
+        self.assertEqual(router.answer(seqid), ("Answer", {}, b"answered"))
+
+    def test_a_request_that_comes_in_parts_behind_one_that_waits_long_is_read(self):
+        self.in_parts_behind_one_that_waits(taken_back=False)
+
+    def test_a_request_that_comes_in_parts_behind_one_taken_back_late_is_read(self):
+        self.in_parts_behind_one_that_waits(taken_back=True)
+
+    def test_a_connection_whose_request_was_taken_back_late_is_ended_by_a_farewell(self):
+        program = self.start()
+        router = program.thrift()
+        taken_back = router.invoke()
+        program.kernel.next()
+        program.standing_still(LASTS + 0.2, lambda: router.abort(taken_back))
+        router.answer(None)  # its farewell; the end of the connection would be an error here
+        self.assertEqual(ends(router.sock), "closed")
+
     def test_what_was_asked_before_half_a_frame_is_answered_though_the_rest_never_comes(self):
         program = self.start()
         router = program.thrift()
