--- a/ochrehoist/cli/main.py
+++ b/ochrehoist/cli/main.py
@@ -4,6 +4,7 @@
 
 import json
 import time
+from pathlib import Path
 
 import click
 
@@ -12,6 +13,7 @@
 from ochrehoist.cli.lab import lab
 from ochrehoist.cli.plan import plan
 from ochrehoist.cli.state import state
+from ochrehoist.config_json import WHOLE
 from ochrehoist.net.operators import ask
 from ochrehoist.settings import BadInput
 
@@ -63,8 +65,14 @@
     """Read a configuration and say what is wrong, by the name of its key."""
     config = configuration.load(file)
     fronts = [name for name, on in (("Thrift", config.listen), ("AJP", config.ajp)) if on]
+    routes = f", {len(config.ajp.rules)} routes" if config.ajp else ""
     click.echo(f"{file}: good; {config.name}, {len(config.settings.classes)} classes, "
-               f"fronts: {', '.join(fronts)}")
+               f"fronts: {', '.join(fronts)}; version {config.version}, "
+               f"{len(config.settings.tenants)} tenants{routes}")
+    if config.source is None and Path(file).stat().st_size > WHOLE:
+        click.echo("note: a change of this file is read at one go, which holds up a running worker: write "
+                   "each tenant and route as a table, [[settings.Tenants]] and [[ajp.rules]], and use no "
+                   "three quotes")
 
 
 def _asked(path: str | None, method: str, target: str) -> tuple[bool, str]:
--- a/ochrehoist/config_source.py
+++ b/ochrehoist/config_source.py
@@ -71,16 +71,18 @@
     for _ in range(TRIES):
         with open(path, "rb", buffering=0) as file:
             before = os.fstat(file.fileno())
-            text = yield from _parts(file)
+            regular = stat.S_ISREG(before.st_mode)
+            text = yield from _parts(file, before.st_size if regular else None)
             after = os.fstat(file.fileno())
-        if not stat.S_ISREG(before.st_mode) or _mark(before) == _mark(after) == _mark(os.stat(path)):
+        if not regular or _mark(before) == _mark(after) == _mark(os.stat(path)):
             if isinstance(text, ValueError):  # only now: it may have been half of a change
                 raise text
             return text
     raise ValueError("changes while it is read")
 
 
-def _parts(file: io.FileIO) -> Generator[None, None, Text | ValueError]:
+def _parts(file: io.FileIO, size: int | None) -> Generator[None, None, Text | ValueError]:
+    """Of one that grows beyond its size no more is read."""
     text, digest, lines = Text(), sha256(), 1
     decoder = io.IncrementalNewlineDecoder(codecs.getincrementaldecoder("utf-8")(), translate=True)
     while True:
@@ -94,7 +96,7 @@
         lines += part.count("\n")
         text.parts.append(part)
         text.size += len(data)
-        if not data:
+        if not data or size is not None and text.size > size:
             text.digest = digest.digest()
             return text
         if text.size > WHOLE:
--- a/ochrehoist/config_toml.py
+++ b/ochrehoist/config_toml.py
@@ -37,9 +37,7 @@
 
 
 class _Faulty(Exception):
-    def __init__(self, text: str, line: int) -> None:
-        super().__init__(text)
-        self.line = line
+    """The text is no TOML."""
 
 
 @dataclass(slots=True)
@@ -298,7 +296,8 @@
 
 
 def _faulty(error: ValueError, offset: int) -> _Faulty:
-    message, line = getattr(error, "msg", str(error)), getattr(error, "lineno", 2) + offset
-    if getattr(error, "pos", 0) >= len(getattr(error, "doc", " ")):
-        return _Faulty(f"{message} (at end of document)", line)
-    return _Faulty(f"{message} (at line {line}, column {getattr(error, 'colno', 1)})", line)
+    if not isinstance(error, tomli.TOMLDecodeError):  # of what can't be held, and has no place
+        return _Faulty(str(error))
+    if error.pos >= len(error.doc):
+        return _Faulty(f"{error.msg} (at end of document)")
+    return _Faulty(f"{error.msg} (at line {error.lineno + offset}, column {error.colno})")
--- a/ochrehoist/settings.py
+++ b/ochrehoist/settings.py
@@ -136,9 +136,8 @@
         if type(data) is not dict or type(name := data.get("Name")) is not str or name not in self.places:
             return None
         known, quota, share = self.before[self.places[name]], data.get("QuotaPerS"), data.get("Fraction", 0.0)
-        same = known.quota_per_s == quota and type(known.quota_per_s) is type(quota) \
-            and known.share == share and type(known.share) is type(share)
-        return known if same else None
+        same = known.quota_per_s == quota and known.share == share
+        return known if same and type(quota) is not bool and type(share) is not bool else None
 
     def _checked(self, data: Any, path: str) -> i.Tenant:
         """Raises BadInput, which names the key after `path`."""
--- /dev/null
+++ b/tests/test_config_text.py
@@ -0,0 +1,153 @@
+"""The texts of configurations read in steps: equal to what tomllib and json make of them, or as faulty."""
+
+import json
+import re
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ochrehoist import config_json, config_source, config_toml
+from ochrehoist.settings import at_once
+
+TENANTS = ("settings", "Tenants")
+ARRAY = ("c", "d")
+
+
+class Files(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+
+    def file(self, text):
+        path = Path(self.folder.name, "text")
+        path.write_bytes(text.encode())
+        return str(path)
+
+
+# ---- TOML, against tomllib
+
+HEADERS = st.sampled_from([
+    "[[a]]", "[[a.b]]", "[[c.d]]", "[[c.d]]", "[[c.d]]", "[a]", "[c]", "[c.d]", "[c.e]", "[a.b]", "[x.y]",
+    "[c.d.f]", '["a"]', "[[ c.d ]]", '[["c".d]]', "[[c.d]] # of some", "  [[c.d]]\t", "[[true]]", "[c]]",
+    "[[c.d]"])
+LINES = st.one_of(
+    st.builds("k{} = {}".format, st.integers(0, 9),
+              st.sampled_from(["1", '"v"', "[1, 2]", "0.5", "'[[c.d]]'"])),
+    st.sampled_from([
+        "", "# [[c.d]]", "  ", "b = 2", "e.f = 1", 'm = [\n"x",\n"y"\n]', "m = [\n[1],\n[2]\n]",
+        "t = { b = 1 }",
+        'u = "é\u2028\u0085x"', 's = "a # b [c]"', '"q" = 1', "n = 1979-05-27", "z = [\n[true]\n]", "d = []",
+        # and what is no TOML
+        "m = [", "bad", 'u = ["a"', "[", "q = [\n[[c.d]]\n]", "k = 1 # \x00", 'k = "', "m = [1,",
+        "i = " + "9" * 5000,
+        # and lines within a string
+        'y = """\n[[c.d]]\n"""', "y = '''\n[c]\n'''", "w = \"'''\""]))
+NEWLINES = st.sampled_from(["\n", "\n", "\n", "\r\n", "\r", "\n\n"])
+
+
+@st.composite
+def texts(draw):
+    parts = draw(st.lists(st.tuples(st.one_of(HEADERS, LINES, LINES), NEWLINES), max_size=14))
+    text = "".join(part.replace("\n", end[:2]) + end for part, end in parts)
+    return text[:-1] if draw(st.booleans()) else text
+
+
+def line_of(error):
+    """The line that a reader of TOML names; None where it names none."""
+    found = re.search(r"at line (\d+)|end of document", str(error))
+    return found and (found[1] or "end")
+
+
+class Toml(Files):
+    @settings(max_examples=1500, deadline=None)
+    @given(texts(), st.sampled_from([1, 2, 64]), st.sampled_from([1, 2, 24]), st.sampled_from([1, 5, 4096]))
+    def test_any_text_gives_the_same_data_or_a_fault_at_the_same_line(self, text, elements, border, part):
+        path = self.file(text)
+        plain, fault, got = None, None, None
+        try:
+            plain = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        except ValueError as error:
+            fault = error
+        with mock.patch.multiple(config_toml, WHOLE=-1, ELEMENTS=elements, BORDER=border), \
+                mock.patch.object(config_source, "PART", part):
+            try:
+                text = at_once(config_source.text_in_steps(path))
+                got = at_once(config_toml.read_in_steps(text, {ARRAY: lambda data: data}, None))
+            except ValueError as error:
+                self.assertIsNotNone(fault, (text, error))
+                if line_of(fault):  # tomllib itself tells no line of a number that is too long
+                    self.assertEqual(line_of(error), line_of(fault), (error, fault))
+                return
+        self.assertIsNone(fault, text)
+        self.assertEqual(got.data, plain)
+
+    @settings(max_examples=300, deadline=None)
+    @given(texts(), texts(), st.sampled_from([1, 2, 64]))
+    def test_what_is_known_from_another_text_changes_nothing(self, first, second, elements):
+        def read(text, before):
+            path = self.file(text)
+            text = at_once(config_source.text_in_steps(path))
+            reading = at_once(config_toml.read_in_steps(text, {ARRAY: lambda data: data}, before))
+            if reading.rest is None:
+                return reading.data, None
+            listed = reading.data["c"]["d"] if ARRAY in reading.stretches else []
+            known = before.kept[ARRAY].elements if before and ARRAY in before.kept else ()
+            whole = [e for x in listed for e in (known[x.start:x.stop] if type(x) is range else (x,))]
+            data = config_source.joined(reading.data, {ARRAY: whole}) if listed else reading.data
+            return data, reading.source(text.digest, {ARRAY: whole})
+
+        with mock.patch.multiple(config_toml, WHOLE=-1, ELEMENTS=elements, BORDER=2):
+            source = None
+            for text in (first, second + first, first + second, second):
+                try:
+                    plain = tomllib.loads(Path(self.file(text)).read_text(encoding="utf-8"))
+                except ValueError:
+                    continue
+                data, source = read(text, source)
+                self.assertEqual(data, plain)
+
+
+# ---- JSON, against json
+
+VALUES = st.recursive(
+    st.one_of(st.none(), st.booleans(), st.integers(), st.floats(), st.text(max_size=4)),
+    lambda inner: st.one_of(st.lists(inner, max_size=4), st.dictionaries(
+        st.sampled_from(["settings", "Tenants", "a", "b"]), inner, max_size=4)), max_leaves=20)
+
+
+@st.composite
+def json_texts(draw):
+    text = json.dumps(draw(VALUES), indent=draw(st.sampled_from([None, 0, 1])),
+                      ensure_ascii=draw(st.booleans()))
+    if draw(st.booleans()):  # a name that comes twice
+        text = text.replace('"a"', '"b"')
+    for _ in range(draw(st.integers(0, 2))):
+        at = draw(st.integers(0, len(text)))
+        text = text[:at] + draw(st.sampled_from(["", " ", "\r\n", ",", "{", "]", '"', "\\", "\ufeff", "0"])) \
+            + text[at + draw(st.integers(0, 2)):]
+    return text
+
+
+class Json(Files):
+    @settings(max_examples=1500, deadline=None)
+    @given(json_texts())
+    def test_any_text_gives_the_same_data_or_a_fault_at_the_same_place(self, text):
+        with mock.patch.multiple(config_json, WHOLE=-1, TAKEN=3):
+            try:
+                plain = json.loads(text)
+            except json.JSONDecodeError as fault:
+                with self.assertRaises(json.JSONDecodeError) as raised:
+                    at_once(config_json.read_in_steps(text, {TENANTS: lambda data: data}))
+                self.assertEqual((raised.exception.pos, raised.exception.msg), (fault.pos, fault.msg))
+                return
+            got = at_once(config_json.read_in_steps(text, {TENANTS: lambda data: data}))
+        self.assertEqual(repr(got), repr(plain))  # a NaN is like no other
+
+
+if __name__ == "__main__":
+    unittest.main()
