Take a configuration read again in steps, and bring it into force in one turn

One SIGHUP read, checked and spread the whole file in one turn of the loop, in every part by loops over all tenants (reload.py order/_read/_take, owner.py _index, peers.py _live_tenants, door.py configure, order.py configure, thrift_front.py configure). The work is now a task that gives the loop its turn after each slice of 1 ms and pauses as long; what it has built is switched in one turn, after what was read before is decided.

Tenants are kept once, in a table that the core, the fronts, the limits and the sites share: positions stay while a module lives, the next table is built beside it, and takes its place by one assignment. Orders that come while a file is read are answered by one more reading. The status tells version, since when, and how long reading and switching took.

--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ochrehoist import interface as i
-from ochrehoist.core import arrivals, handover, succession
+from ochrehoist.core import arrivals, handover, retuning, succession
 from ochrehoist.core.answers import Answers
 from ochrehoist.core.deadlines import REARM, Deadlines
 from ochrehoist.core.figures import Figures
@@ -37,8 +37,10 @@
     Retuned,
     Standby,
     TakenOver,
+    TenantsRetuned,
     Waker,
 )
+from ochrehoist.core.tenants import Tenants, first
 from ochrehoist.rules import AdmissionController
 
 MS = 1_000_000
@@ -71,8 +73,9 @@
         self.filings = Filings(self)
         self.limiter: Limiter | None = None
         self.gate: Gate | None = None
-        # Where a fleet is known: its tenants, whose quotas here follow what this worker holds of them.
-        self.live_tenants: Callable[[tuple[i.Tenant, ...], int], tuple[i.Tenant, ...]] | None = None
+        self.tenants = first(settings.tenants)
+        # Where a fleet is known: its tenants by position, whose quotas here follow what this worker holds.
+        self.live_tenants: Callable[[Tenants, int], tuple[i.Tenant, ...]] | None = None
         self.gauges: dict[str, float] = {}
         self.now = 0
         self.module_good = True  # the module's own verdict
@@ -83,7 +86,7 @@
         self.weight = 100  # per cent of its usual share that this worker asks for
         self.leave_at: int | None = None
         self.stop_at: int | None = None
-        self._index(settings)
+        self.index(settings)
         self.swept = self.looked = 0
         # Replacing the process: what asks the one before this for its state, once this one is up; whether
         # this core stands still while the next one takes its state; and what it then is reduced to.
@@ -94,15 +97,21 @@
         self.forwarder: Forwarder | None = None
         self.inherited_standby = False
 
-    def _index(self, settings: i.Settings) -> None:
-        """Positions in the module's settings by name: only its events speak of positions.
+    def index(self, settings: i.Settings) -> None:
+        """Positions of classes in the module's settings: only its events speak of positions.
 
         Behind the classes of the settings there may be some that are gone and still have requests or keys.
         """
         self.kinds = {c.name: at for at, c in enumerate(settings.classes)}
-        self.tenants = {t.name: at for at, t in enumerate(settings.tenants)}
         self.served_classes = {c.name for c in self.settings.classes}
 
+    @property
+    def told_tenants(self) -> tuple[i.Tenant, ...]:
+        """Tenants by position, as the module is told of them."""
+        if self.live_tenants is None:
+            return self.tenants.places
+        return self.live_tenants(self.tenants, self.settings.fleet_size)
+
     @property
     def ready(self) -> bool:
         """Whether this process is to serve: its module is up and well, and nobody has sent it away.
@@ -199,11 +208,10 @@
         """A fresh module for these settings."""
         m = self.booted
         self.deadlines.forget_alarms()
-        self._index(settings)
+        self.index(settings)
+        settings = replace(settings, tenants=self.told_tenants)
         if m.cold is not None:
             settings = replace(settings, just_started=m.cold)
-        if self.live_tenants is not None:
-            settings = replace(settings, tenants=self.live_tenants(settings.tenants, settings.fleet_size))
         self.controller = AdmissionController(settings, self.seed)
         self.tell(i.Started(), at=self.born)
         if self.leave_at is not None:
@@ -230,16 +238,6 @@
         self.thaw()
         return self.forwarder
 
-    # ---- new settings
-    def _retuned(self, m: Retuned) -> None:
-        self.settings = m.settings
-        self.figures.know(c.name for c in m.settings.classes)
-        if self.controller is None:
-            return self._index(m.settings)
-        succession.take_up(self, succession.state_of(self))
-        self.log.info("settings changed", classes=sorted(self.served_classes),
-                      gone=sorted(self.kinds.keys() - self.served_classes))
-
     # ---- the new one's side
     def _taken_over(self, m: TakenOver) -> None:
         """Goes on from the state of the process before this one, or from nothing."""
@@ -268,10 +266,9 @@
         if original is not None:
             self.filings.wake(r.token)
         return i.Request(
-            id=r.id, kind=self.kinds[r.cls.name], tenant=self.tenants.get(r.tenant), key=r.key, work=r.work,
-            memory_kb=r.memory_kb, rank=r.rank, retry=r.retry, write=r.write, caller=r.caller,
-            unread_for=max(0, self.now - r.arrived), original=original,
-            times=r.times)
+            id=r.id, kind=self.kinds[r.cls.name], tenant=self.tenants.position(r.tenant), key=r.key,
+            work=r.work, memory_kb=r.memory_kb, rank=r.rank, retry=r.retry, write=r.write, caller=r.caller,
+            unread_for=max(0, self.now - r.arrived), original=original, times=r.times)
 
     # ---- messages
     def _arrived(self, m: Arrived) -> None:
@@ -360,8 +357,9 @@
         self._judge()
 
     TAKES = {Booted: _booted, Arrived: _arrived, Gone: _gone, Ended: _ended, Joined: _joined,
-             Gauges: _measured, Leaving: _leaving, Standby: _stood_by, Linked: _linked, Retuned: _retuned,
-             TakenOver: _taken_over, Recorded: lambda self, m: self.filings.recorded(m),
+             Gauges: _measured, Leaving: _leaving, Standby: _stood_by, Linked: _linked,
+             Retuned: retuning.retuned, TenantsRetuned: retuning.tenants_retuned, TakenOver: _taken_over,
+             Recorded: lambda self, m: self.filings.recorded(m),
              Restored: lambda self, m: self.filings.restored(m)}
 
     # ---- time
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import Any, Protocol
 
+from ochrehoist.core.tenants import Tenants
 from ochrehoist.interface import Limits, Outcome, RequestClass, Settings
 
 KeyId = tuple[str | None, str, str]  # names of tenant and class, and the caller's token: one filing
@@ -293,9 +294,18 @@
 
 @dataclass(slots=True)
 class Retuned:
-    """New settings, read while the worker runs."""
+    """New settings, read while the worker runs; `tenants`: their table, where it was made beforehand."""
 
     settings: Settings
+    tenants: Tenants | None = None
+
+
+@dataclass(slots=True)
+class TenantsRetuned:
+    """New settings that differ in nothing but tenants."""
+
+    settings: Settings
+    tenants: Tenants
 
 
 @dataclass(slots=True)
@@ -306,4 +316,4 @@
 
 
 Message = (Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby | Recorded | Restored
-           | Linked | Retuned | TakenOver)
+           | Linked | Retuned | TenantsRetuned | TakenOver)
--- /dev/null
+++ b/ochrehoist/core/retuning.py
@@ -0,0 +1,39 @@
+"""How the core takes new settings, between two events: only what differs."""
+
+from typing import Protocol
+
+from ochrehoist import interface as i
+from ochrehoist.core import succession
+from ochrehoist.core.figures import Figures
+from ochrehoist.core.requests import Retuned, TenantsRetuned
+from ochrehoist.core.tenants import Tenants, changed, whole
+
+
+class Core(succession.Core, Protocol):
+    """What new settings need of the core."""
+
+    tenants: Tenants
+    figures: Figures
+    served_classes: set[str]
+    told_tenants: tuple[i.Tenant, ...]
+
+    def index(self, settings: i.Settings) -> None: ...
+
+
+def retuned(core: Core, m: Retuned) -> None:
+    """By a fresh module, that is told of all that is open: its cost grows with that."""
+    tenants = m.tenants if m.tenants is not None else whole(changed(core.tenants, m.settings.tenants))
+    core.settings, core.tenants = m.settings, tenants
+    core.figures.know(c.name for c in m.settings.classes)
+    if core.controller is None:
+        return core.index(m.settings)
+    succession.take_up(core, succession.state_of(core))
+    core.log.info("settings changed", classes=sorted(core.served_classes),
+                  gone=sorted(core.kinds.keys() - core.served_classes))
+
+
+def tenants_retuned(core: Core, m: TenantsRetuned) -> None:
+    """In the module that there is: positions stay, so nothing that is open need be told again."""
+    core.settings, core.tenants = m.settings, m.tenants
+    if core.controller is not None:
+        succession.take_up(core, succession.state_of(core))
--- a/ochrehoist/limits/door.py
+++ b/ochrehoist/limits/door.py
@@ -8,11 +8,11 @@
 """
 
 from collections import Counter
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
+from ochrehoist.core.tenants import Tenants, first
 from ochrehoist.interface import Repeat, Settings
 from ochrehoist.limits.allot import Ask, allot
 from ochrehoist.limits.watch import Watch
@@ -36,7 +36,7 @@
 class Door:
     """`admits` for each request that may be run again; `look` ten times a second."""
 
-    def __init__(self, watch: Watch, settings: Settings, seed: int) -> None:
+    def __init__(self, watch: Watch, settings: Settings, seed: int, tenants: Tenants | None = None) -> None:
         self.watch, self.rng = watch, Random(seed)
         self.asked: Counter[Group] = Counter()  # in this look
         self.lately: dict[Group, float] = {}  # a look, on a mean
@@ -44,15 +44,15 @@
         self.rest = 0.0  # tokens for whoever comes new
         self.counts = Counts()
         self.since_look = Counts()
-        self.configure(settings)
+        self.configure(settings, tenants)
 
-    def configure(self, settings: Settings) -> None:
+    def configure(self, settings: Settings, tenants: Tenants | None = None) -> None:
         """Takes new classes and tenants; what is open keeps what it was told."""
         worths = sorted({c.worth for c in settings.classes}, reverse=True)
         self.ranks = {c.name: worths.index(c.worth) for c in settings.classes}
         self.safe = {c.name: c.repeat is Repeat.SAFE for c in settings.classes}
         self.aims = {c.name: c.aim for c in settings.classes}
-        self.weights: Mapping[str, float] = {t.name: max(1e-3, t.share) for t in settings.tenants}
+        self.tenants = tenants if tenants is not None else first(settings.tenants)
 
     def may_shed(self, cls: str) -> bool:
         """Whether this door has a say: filings and what may run once only are the core's alone."""
@@ -121,7 +121,8 @@
         tenants = Counter(cls for cls, _ in sizes)
         asks = []
         for cls, tenant, caller in groups:
-            of_tenant = self.weights.get(tenant, 1.0) if tenant is not None else 1.0
+            known = self.tenants.get(tenant)
+            of_tenant = max(1e-3, known.share) if known is not None else 1.0
             part = 1 / sizes[cls, tenant]
             asks.append(Ask(self.ranks[cls], 1.1 * self.lately[cls, tenant, caller] + 1, of_tenant * part,
                             FLOOR * budget * part / tenants[cls]))
--- a/ochrehoist/net/peers.py
+++ b/ochrehoist/net/peers.py
@@ -7,13 +7,14 @@
 import socket
 import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Generator, Mapping
 from typing import Any
 
 from ochrehoist.config import Config
 from ochrehoist.core.figures import counted
 from ochrehoist.core.owner import Owner
 from ochrehoist.core.requests import Inbound
+from ochrehoist.core.tenants import Tenants
 from ochrehoist.interface import Tenant
 from ochrehoist.net.loop import Loop
 from ochrehoist.peers import wire
@@ -100,20 +101,30 @@
         self.bytes_out = self.bytes_in = self.sent = 0
         self.spent = 0.0
         self.secrets = tuple(s.encode() for s in self.config.secrets)
+        self.told: tuple[Tenants, tuple] | None = None  # a table, and what the module is told of it
         self.stopped, self.said = False, {}
         self.open: dict[
             int, tuple[str, str | None, int | None]
         ] = {}  # runs: server, its budget and ticket there
         self._budgets()
         owner.answers.observers.append(self)
-        owner.live_tenants = self._live_tenants
+        owner.live_tenants = self.live_tenants
 
     def _budgets(self) -> None:
         self.tenants = {b.of: b.name for b in self.config.budgets if b.use == "tenant"}
         self.repeats = {b.of: b.name for b in self.config.budgets if b.use == "repeats"}
         self.servers = {b.of: b.name for b in self.config.budgets if b.use == "server"}
 
-    def configure(self, config: Config) -> None:
+    def prepare(self, config: Config, tenants: Tenants) -> Generator[None, None, Callable[[], None]]:
+        """What a configuration read again comes to; nothing changes before the call that it gives."""
+        peers = config.peers or self.config
+        budgets = {b.of: b.name for b in peers.budgets if b.use == "tenant"}
+        told = tenants, self._told(tenants, budgets, config.settings.fleet_size)
+        yield
+        return lambda: self._configure(config, told)
+
+    def _configure(self, config: Config, told: tuple[Tenants, tuple]) -> None:
+        self.told = told
         if config.peers is None:
             return
         self.config, self.secrets = config.peers, tuple(s.encode() for s in config.peers.secrets)
@@ -250,11 +261,18 @@
     def part(self, budget: str) -> int:
         return (self.group.part(budget, time.monotonic()) or 0) if not self.group.yielded else 0
 
-    def _live_tenants(self, tenants: tuple[Tenant, ...], fleet_size: int) -> tuple:
-        return tuple(
-            FleetTenant(t, self, self.tenants[t.name], fleet_size) if t.name in self.tenants else t
-            for t in tenants
-        )
+    def live_tenants(self, tenants: Tenants, fleet_size: int) -> tuple:
+        """Tenants by position, for the module: those that have a budget with their part of it."""
+        table, told = self.told or (None, ())
+        return told if table is tenants else self._told(tenants, self.tenants, fleet_size)
+
+    def _told(self, tenants: Tenants, budgets: Mapping[str, str], fleet_size: int) -> tuple:
+        out = list(tenants.places)
+        for name, budget in budgets.items():
+            position = tenants.at.get(name)
+            if position is not None:
+                out[position] = FleetTenant(out[position], self, budget, fleet_size)
+        return tuple(out) if budgets else tenants.places
 
     # ---- what the AJP servers' executor asks
     def order(self, busy: Mapping[str, int]) -> list[str]:
--- a/ochrehoist/net/selfmeasure.py
+++ b/ochrehoist/net/selfmeasure.py
@@ -13,6 +13,7 @@
 from ochrehoist.config import OverloadConfig
 from ochrehoist.core.figures import counted
 from ochrehoist.core.owner import Owner
+from ochrehoist.core.tenants import Tenants
 from ochrehoist.interface import Settings
 from ochrehoist.limits.door import Door
 from ochrehoist.limits.limiter import Limiter
@@ -31,7 +32,7 @@
                  log: Any) -> None:
         self.loop, self.owner, self.log, self.fronts = loop, owner, log, fronts
         self.watch = Watch(int(memory_mb * 1e6))
-        self.door = Door(self.watch, owner.settings, owner.seed) if config.door else None
+        self.door = Door(self.watch, owner.settings, owner.seed, owner.tenants) if config.door else None
         self.limiter = owner.limiter = Limiter(config, owner.settings, owner.seed)
         self.parts = Parts()
         owner.step = self.parts.timed("deciding", owner.step)
@@ -47,13 +48,13 @@
         loop.meter = self._round
         loop.call_later(LOOK_S, self._look)
 
-    def configure(self, settings: Settings, config: OverloadConfig | None) -> None:
+    def configure(self, settings: Settings, config: OverloadConfig | None, tenants: Tenants) -> None:
         """Settings read again. What was off at the start stays off, and the other way round."""
         if config is not None:
             self.limiter.config = config
         self.limiter.configure(settings)
         if self.door is not None:
-            self.door.configure(settings)
+            self.door.configure(settings, tenants)
 
     # ---- measuring
     def _round(self, took: float, late: float) -> None:
--- a/ochrehoist/net/sites.py
+++ b/ochrehoist/net/sites.py
@@ -11,6 +11,7 @@
 from ochrehoist.core.figures import counted
 from ochrehoist.core.owner import Owner
 from ochrehoist.core.requests import Standby
+from ochrehoist.core.tenants import Tenants
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.operators import Answer, said
 from ochrehoist.net.peers import Peers
@@ -48,7 +49,8 @@
         self.config = config.sites
         c = config.sites
         self.desk = Desk(
-            config.name, c.site, owner.settings, c.playbook, time.monotonic(), came_back and c.pace
+            config.name, c.site, owner.settings, c.playbook, time.monotonic(), came_back and c.pace,
+            owner.tenants,
         )
         self.desk.ask_permit, self.desk.drop_permit = self._permit, self._let_go
         self.ticket: int | None = None
@@ -60,10 +62,10 @@
         owner.part = self.desk.part
         loop.call_later(LOOK_S, self._look)
 
-    def configure(self, config: Config) -> None:
+    def configure(self, config: Config, tenants: Tenants) -> None:
         if config.sites is not None:
             self.config = config.sites
-            self.desk.configure(config.settings, config.sites.playbook, time.monotonic())
+            self.desk.configure(config.settings, config.sites.playbook, time.monotonic(), tenants)
 
     # ---- time
     def _look(self) -> None:
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -85,15 +85,13 @@
 class ThriftReader:
     """Reads the arguments of an invoke call into a core request."""
 
-    def __init__(self, settings: Settings, executor: Executor) -> None:
-        self.executor = executor
+    def __init__(self, owner: Owner, executor: Executor) -> None:
+        self.owner, self.executor = owner, executor
         self.classes: dict[str, RequestClass] = {}  # also those that are gone: the core answers them
-        self.tenants: set[str] = set()
-        self.configure(settings)
+        self.configure(owner.settings)
 
     def configure(self, settings: Settings) -> None:
         self.classes.update((c.name, c) for c in settings.classes)
-        self.tenants.update(t.name for t in settings.tenants)
 
     def request(self, values: dict[bytes, bytes], body: bytes, responder: "ThriftResponder") -> Inbound:
         f = Fields(values)
@@ -103,8 +101,9 @@
             raise thrift.BadArguments("field method: unknown class")
         if len(rid) != 16 or not HEX.issuperset(rid):
             raise thrift.BadArguments("field rid: not 16 hex digits")
-        acct = f.text("acct", required=bool(self.tenants))
-        if acct is not None and acct not in self.tenants:
+        tenants = self.owner.tenants
+        acct = f.text("acct", required=bool(tenants.places))
+        if acct is not None and not tenants.known(acct):  # one that is gone may repeat a filing that ran
             raise thrift.BadArguments("field acct: unknown tenant")
         keyed = cls.repeat is Repeat.KEYED
         token = f.text("token", required=keyed)
@@ -332,7 +331,7 @@
     def __init__(self, loop: Loop, owner: Owner, executor: Executor, address: tuple[str, int],
                  max_connections: int, max_unsent: int, log: Any, sock: socket.socket | None = None) -> None:
         self.loop, self.owner, self.log = loop, owner, log
-        self.reader = ThriftReader(owner.settings, executor)
+        self.reader = ThriftReader(owner, executor)
         self.connections: set[Connection] = set()
         self.max_unsent = max_unsent  # bytes of all answers that are not taken yet
         self.draining = False
--- a/ochrehoist/reload.py
+++ b/ochrehoist/reload.py
@@ -1,52 +1,82 @@
-"""The configuration read again while the worker runs: by order, or because the worker is cut off."""
+"""The configuration read again while the worker runs: by order, or because the worker is cut off.
+
+It is read, compared and prepared in steps, between which all else has its turn, and comes into force in one:
+what was read under the old one is decided by the old one, and no request ever meets half of a change.
+"""
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Generator, Sequence
+from dataclasses import dataclass, replace
+from hashlib import sha256
 from typing import Any
 
 from ochrehoist import config as configuration
 from ochrehoist.config import Config
 from ochrehoist.core.linkwatch import LinkWatch
 from ochrehoist.core.owner import Owner
-from ochrehoist.core.requests import Linked, Retuned
+from ochrehoist.core.requests import Linked, Retuned, TenantsRetuned
+from ochrehoist.core.tenants import STEP, Tenants, changed, compact
 from ochrehoist.net.kernel import Kernel
 from ochrehoist.net.loop import Loop
 from ochrehoist.settings import BadInput
 
 LOOK = 0.25  # s from one look at the kernel's link to the next
 AFTER = 3.0  # s after a change of configuration at which the log tells what has come of it
+SLICE = 0.001  # s that steps take of a turn of the loop, and what the last of them takes more
+PAUSE = 1.0  # of the time that a turn's steps took, which all else has at least before the next
+STAND = 0.01  # s between looks at a core that stands still while its state is handed over
 COUNTED = {"served": "answered_total", "refused": "deferred_total", "failed": "errored_total"}
 
+Commit = Callable[[], None]
+Steps = Generator[None, None, Commit]
+Part = Callable[[Config, Tenants], Steps]  # what takes settings: builds what it needs, and gives the switch
+
+
+def at_once(configure: Callable[[Config, Tenants], None]) -> Part:
+    """A part that has nothing to prepare."""
+    def prepare(new: Config, tenants: Tenants) -> Steps:
+        return lambda: configure(new, tenants)
+        yield
+
+    return prepare
+
+
+@dataclass(slots=True)
+class Change:
+    """One that is ready to come into force."""
+
+    config: Config
+    version: str
+    fixed: list[str]  # keys that differ and need a restart
+    message: Retuned | TenantsRetuned | None  # for the core; None where it is not concerned
+    commits: list[Commit]
+
 
 class Reloading:
-    """Reads the configuration whole and hands what can change to `takers`, the parts that take it.
+    """Reads the configuration whole and hands what can change to `parts`.
 
     Nothing is lost by it: runs, keys, notices and open connections go on. A bad file changes nothing.
     """
 
-    def __init__(self, loop: Loop, owner: Owner, config: Config, path: str | None,
-                 takers: Sequence[Callable[[Config], None]], kernel: Kernel | None, log: Any) -> None:
-        self.loop, self.owner, self.path, self.takers, self.log = loop, owner, path, takers, log
+    def __init__(self, loop: Loop, owner: Owner, config: Config, path: str | None, parts: Sequence[Part],
+                 kernel: Kernel | None, log: Any) -> None:
+        self.loop, self.owner, self.path, self.parts, self.log = loop, owner, path, parts, log
         self.config, self.kernel, self.watch = config, kernel, LinkWatch()
         self.good = True  # the kernel is within reach, or was a moment ago
         self.last, self.why, self.at = "start", "", time.monotonic()
+        self.version, self.since = _version(config), time.time()  # in force, and since when (Unix s)
+        self.reading = False  # a task is at it
+        self.ordered = False  # and one more reading is due after it: the file may have changed since
+        self.held = self.longest = 0.0  # s that the last reading, and any, held up the loop at most
+        self.read_s = self.switch_s = 0.0  # of the last change: from its reading until in force; its switch
         self.before = self._counts()
 
     def order(self) -> None:
-        """SIGHUP."""
+        """SIGHUP. However many come while a file is read, it is read once more after the last of them."""
         if self.owner.forwarder is not None:
             return  # the file is for the process that decides now
-        figures = self.owner.figures.single
-        try:
-            new, fixed = self._read()
-        except BadInput as error:
-            figures["conf_invalid_total"] += 1
-            self._turned_down(str(error))
-            self.log.error("configuration can't be used, the old one stays", why=str(error))
-            return
-        figures["conf_loaded_total"] += 1
-        self._take(new)
-        self.log.info("configuration read again", needs_a_restart=fixed)
+        self.ordered = True
+        self._begin()
 
     def watch_link(self) -> None:
         """A task: the kernel's link is looked at for good."""
@@ -56,10 +86,136 @@
             self.loop.sleep(LOOK)
 
     def view(self) -> dict[str, Any]:
-        """For operators: how the configuration in force came about, and what has come of it since."""
+        """For operators: what is in force and how it came about, and what has come of it since."""
         values = {"last": self.last, "age_s": round(time.monotonic() - self.at, 1)}
-        return values | ({"why": self.why} if self.why else {}) | {"since": self._since()}
+        values |= {"why": self.why} if self.why else {}
+        return values | {"since": self._since(), "version": self.version,
+                         "in_force_since": round(self.since, 3), "reading": self.reading,
+                         "took_s": round(self.read_s, 3), "switch_ms": round(1000 * self.switch_s, 3),
+                         "held_ms": round(1000 * self.held, 3)}
+
+    # ---- reading
+    def _begin(self) -> None:
+        if not self.reading:
+            self.reading = True
+            self.loop.spawn(self._work)
+
+    def _work(self) -> None:
+        """A task: reads until no order is left."""
+        try:
+            while self.ordered and self.owner.forwarder is None:
+                self.ordered = False
+                self._obey()
+        finally:
+            self.reading = False
+
+    def _obey(self) -> None:
+        figures = self.owner.figures.single
+        try:
+            change = self._change()
+        except BadInput as error:
+            figures["conf_invalid_total"] += 1
+            self._turned_down(str(error))
+            self.log.error("configuration can't be used, the old one stays", why=str(error),
+                           version=self.version)
+            return
+        if change is not None:
+            figures["conf_loaded_total"] += 1
+            self._tell_taken(change)
+
+    def _tell_taken(self, change: Change) -> None:
+        self.log.info("configuration read again", needs_a_restart=change.fixed, version=self.version,
+                      took_ms=round(1000 * self.read_s, 1), held_ms=round(1000 * self.held, 2))
+
+    def _change(self, only_new: bool = False) -> Change | None:
+        """Reads the file and brings it into force. Raises BadInput. None where another process decides now,
+        or, with `only_new`, where nothing differs."""
+        began, self.held = time.monotonic(), 0.0
+        change = self._paced(self._steps(only_new))
+        while self.owner.frozen:  # its state is on the way to another process, which may still say no
+            self.loop.sleep(STAND)
+        if change is None or self.owner.forwarder is not None:
+            return None
+        self._commit(change)
+        self.read_s = time.monotonic() - began
+        return change
+
+    def _paced(self, steps: Generator[None, None, Change | None]) -> Change | None:
+        """Takes the steps, some in each turn of the loop."""
+        while True:
+            began = time.monotonic()
+            try:
+                while True:
+                    next(steps)
+                    if time.monotonic() - began >= SLICE:
+                        break
+            except StopIteration as end:
+                return end.value
+            finally:
+                took = time.monotonic() - began
+                self._held(took)
+            self.loop.sleep(PAUSE * took)
+
+    def _held(self, took: float) -> None:
+        self.held = max(self.held, took)
+        self.longest = max(self.longest, took)
+
+    def _steps(self, only_new: bool) -> Generator[None, None, Change | None]:
+        old = self.config
+        loaded, version = yield from _load_in_steps(self.path)
+        new, fixed = configuration.taken_over(old, loaded)
+        if only_new and new == old:
+            return None
+        yield
+        tenants = yield from changed(self.owner.tenants, new.settings.tenants)
+        yield
+        other = replace(new.settings, tenants=()) != replace(old.settings, tenants=())
+        told = tenants is not self.owner.tenants or _budgets(new) != _budgets(old)
+        message = None
+        if other or tenants.crowded:
+            if tenants.crowded:
+                tenants = yield from self._compacted(tenants)
+            message = Retuned(new.settings, tenants)
+        elif told:
+            message = TenantsRetuned(new.settings, tenants)
+        commits = []
+        for prepare in self.parts:
+            commits.append((yield from prepare(new, tenants)))
+        return Change(new, version, fixed, message, commits)
+
+    def _compacted(self, tenants: Tenants) -> Generator[None, None, Tenants]:
+        """Without those that are gone, but for whom a request is open or a filing known."""
+        used = {r.tenant for r in self.owner.live.values()}
+        for known in (self.owner.keys.runs, self.owner.keys.entries):
+            for n, token in enumerate(list(known)):
+                used.add(token[0])
+                if n % STEP == 0:
+                    yield
+        # Those that this change takes away may have one more request read before it.
+        used |= tenants.gone.keys() - self.owner.tenants.gone.keys()
+        return (yield from compact(tenants, used))
+
+    # ---- into force
+    def _commit(self, change: Change) -> None:
+        """In one turn, between two events."""
+        began = time.monotonic()
+        self.owner.step()  # what was read until now is decided by what is in force until now
+        for commit in change.commits:
+            try:
+                commit()
+            except Exception:  # a fault of one part of ours must not leave the others behind
+                self.log.exception("fault in taking a new configuration")
+        if change.message is not None:
+            self.owner.post(change.message)
+            self.owner.step()
+        self.config, self.version = change.config, change.version
+        self.last, self.why, self.at, self.before = "taken", "", time.monotonic(), self._counts()
+        self.since = time.time()
+        self.switch_s = self.at - began
+        self._held(self.switch_s)
+        self.loop.call_later(AFTER, lambda at=self.at: self._tell(at))
 
+    # ---- the kernel's link
     def _look(self) -> None:
         verdict = self.watch.look(time.monotonic(), self.kernel.stream is not None, self.kernel.address)
         if verdict.good is not self.good:
@@ -69,35 +225,32 @@
                 self.log.info("the kernel is within reach again", kernel=self.kernel.view())
             else:
                 self.log.error("cut off from the kernel: health turns bad", kernel=self.kernel.view())
-        if verdict.read_again:
-            self._heal()
+        if verdict.read_again and not self.reading:  # what is being read now may be the way out
+            self.reading = True
+            self.loop.spawn(self._heal)
 
     def _heal(self) -> None:
-        """Not counted as taken or turned down: nobody ordered it."""
+        """A task. Not counted as taken or turned down: nobody ordered it."""
         try:
-            new, fixed = self._read()
+            self._look_for_another()
+        finally:
+            self.reading = False
+            if self.ordered:
+                self._begin()
+
+    def _look_for_another(self) -> None:
+        try:
+            change = self._change(only_new=True)
         except BadInput as error:
             self._turned_down(str(error))
             self.log.error("cut off, and the configuration can't be used: mend the file", why=str(error))
             return
-        if new == self.config:
+        if change is None and self.owner.forwarder is None:
             self.log.warning("cut off, and the configuration is as before: is the kernel up?",
                              kernel=self.kernel.view())
-            return
-        self._take(new)
-        self.log.warning("cut off: a new configuration was found and taken", needs_a_restart=fixed)
-
-    def _read(self) -> tuple[Config, list[str]]:
-        return configuration.taken_over(self.config, configuration.load(self.path))
-
-    def _take(self, new: Config) -> None:
-        retuned, self.config = new.settings != self.config.settings, new
-        for take in self.takers:
-            take(new)
-        if retuned:
-            self.owner.post(Retuned(new.settings))
-        self.last, self.why, self.at, self.before = "taken", "", time.monotonic(), self._counts()
-        self.loop.call_later(AFTER, lambda at=self.at: self._tell(at))
+        elif change is not None:
+            self.log.warning("cut off: a new configuration was found and taken", needs_a_restart=change.fixed,
+                             version=self.version)
 
     def _turned_down(self, why: str) -> None:
         self.last, self.why, self.at = "turned down", why, time.monotonic()
@@ -114,3 +267,18 @@
 
     def _since(self) -> dict[str, int]:
         return {word: n - self.before[word] for word, n in self._counts().items()}
+
+
+def _load_in_steps(path: str | None) -> Generator[None, None, tuple[Config, str]]:
+    yield
+    config = configuration.load(path)
+    return config, _version(config)
+
+
+def _version(config: Config) -> str:
+    return sha256(repr(replace(config, seed=0)).encode()).hexdigest()[:12]
+
+
+def _budgets(config: Config) -> object:
+    """What the quotas of tenants here are made of beside the settings."""
+    return config.peers and config.peers.budgets
--- a/ochrehoist/sites/desk.py
+++ b/ochrehoist/sites/desk.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from ochrehoist.core.requests import Inbound, Refusal
+from ochrehoist.core.tenants import Tenants, first
 from ochrehoist.interface import Outcome, Settings
 from ochrehoist.peers.wire import Life
 from ochrehoist.sites import orders as words_of_operators
@@ -74,10 +75,18 @@
     """`came_back`: this process starts with nothing in hand, and is to take its load by steps."""
 
     def __init__(
-        self, name: str, site: str, settings: Settings, book: Playbook | None, now: float, came_back: bool
+        self,
+        name: str,
+        site: str,
+        settings: Settings,
+        book: Playbook | None,
+        now: float,
+        came_back: bool,
+        tenants: Tenants | None = None,
     ) -> None:
         self.name, self.site, self.now = name, site, now
-        self.order = Order(settings.classes, settings.tenants, settings.over_share_worth)
+        table = tenants if tenants is not None else first(settings.tenants)
+        self.order = Order(settings.classes, table, settings.over_share_worth)
         self.level = Level(settings.cores, self._aim(settings))
         self.knowing, self.orders, self.lean = Knowing(), Orders(), Lean(now)
         self.book = self.file_book = book
@@ -109,10 +118,13 @@
         loss = self.book.of(self.site) if self.book is not None else None
         return Ramp(now, why, loss.steps, loss.longest_s) if loss is not None else Ramp(now, why, STEPS)
 
-    def configure(self, settings: Settings, book: Playbook | None, now: float) -> None:
+    def configure(
+        self, settings: Settings, book: Playbook | None, now: float, tenants: Tenants | None = None
+    ) -> None:
         """New settings while it runs; a playbook of another file only where it is the younger."""
         self.settings = settings
-        self.order.configure(settings.classes, settings.tenants, settings.over_share_worth)
+        table = tenants if tenants is not None else first(settings.tenants)
+        self.order.configure(settings.classes, table, settings.over_share_worth)
         self.level.configure(settings.cores, self._aim(settings))
         if book is not None and (self.file_book is None or book.digest != self.file_book.digest):
             self.file_book = book
--- a/ochrehoist/sites/order.py
+++ b/ochrehoist/sites/order.py
@@ -12,7 +12,8 @@
 
 import xxhash
 
-from ochrehoist.interface import Repeat, RequestClass, Tenant
+from ochrehoist.core.tenants import Tenants
+from ochrehoist.interface import Repeat, RequestClass
 
 MEMORY_S = 6.0  # after which what came counts for 1/e
 LEARN, LEARN_COLD = 0.08, 0.25  # of a run's time, in the mean of its class; while the machine warms
@@ -56,9 +57,7 @@
 
 
 class Order:
-    def __init__(
-        self, classes: Iterable[RequestClass], tenants: Iterable[Tenant], beyond_worth: float
-    ) -> None:
+    def __init__(self, classes: Iterable[RequestClass], tenants: Tenants, beyond_worth: float) -> None:
         self.costs: dict[str, float] = {}  # s of one core for one request
         self.shares: dict[Group, Rate] = {}
         self.rates: dict[str, Rate] = {}
@@ -67,11 +66,9 @@
         self.starts: dict[Group, tuple[float, float]] = {}  # where each group begins, and how wide it is
         self.configure(classes, tenants, beyond_worth)
 
-    def configure(
-        self, classes: Iterable[RequestClass], tenants: Iterable[Tenant], beyond_worth: float
-    ) -> None:
+    def configure(self, classes: Iterable[RequestClass], tenants: Tenants, beyond_worth: float) -> None:
         self.classes = {c.name: c for c in classes}
-        self.quotas = {t.name: t.quota_per_s for t in tenants}
+        self.tenants = tenants
         self.beyond_worth = beyond_worth
         self.costs = {n: c for n, c in self.costs.items() if n in self.classes}
         self.shares = {g: r for g, r in self.shares.items() if g[0] in self.classes}
@@ -110,9 +107,10 @@
     # ---- places
     def beyond(self, ident: tuple, tenant: str | None, now: float) -> bool:
         """Whether it is of the part that its tenant sends beyond its share of the fleet."""
-        quota = self.quotas.get(tenant) if tenant is not None else None
-        if quota is None:
+        known = self.tenants.get(tenant)
+        if known is None:
             return False
+        quota = known.quota_per_s
         rate = self.fleetwide.tenants.get(tenant, 0.0)
         own = self.rates.get(tenant)
         rate = max(rate, own.read(now) if own is not None else 0.0)
--- a/ochrehoist/worker.py
+++ b/ochrehoist/worker.py
@@ -5,7 +5,7 @@
 import socket
 import sys
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Any
 
@@ -27,7 +27,7 @@
 from ochrehoist.net.members import Members
 from ochrehoist.net.operators import Answer, Operators, said
 from ochrehoist.net.thrift_front import ThriftFront
-from ochrehoist.reload import Reloading
+from ochrehoist.reload import Part, Reloading, at_once
 from ochrehoist.settings import BadInput
 
 RESULT_SHARE = 0.15  # of the process memory, for the results of filings
@@ -55,7 +55,7 @@
         self.predecessor: Predecessor | None = None
         self.fronts: list[ThriftFront | AjpFront] = []
         self.tasks = [owner.run]
-        takers: list[Callable[[Config], None]] = []  # parts that take a configuration read again
+        parts: list[Part] = []  # that take a configuration read again
         # Where the system gives fewer than the settings say, it is the system's limit that binds.
         sockets = min([n for n in (config.sockets, os.sysconf("SC_OPEN_MAX")) if n > 0])
         room = sockets - RESERVED - SERVICE * sum(a is not None for a in (config.admin, config.agent))
@@ -79,25 +79,25 @@
             front = AjpFront(loop, owner, servers, config.ajp, most, body_bytes, self.log,
                              inherited(config.ajp.listen))
             self.fronts.append(front)
-            takers += [lambda new: servers.configure(new.ajp),
-                            lambda new: front.configure(new.ajp, new.settings)]
+            parts += [at_once(lambda new, _: servers.configure(new.ajp)),
+                      at_once(lambda new, _: front.configure(new.ajp, new.settings))]
         if config.listen:
             kernel = Kernel(loop, owner, config.kernel, config.gauges, self.log)
             self.gauge_source = self.kernel = kernel
             self.tasks.append(kernel.run)
-            takers.append(lambda new: kernel.move(new.kernel, new.gauges))
+            parts.append(at_once(lambda new, _: kernel.move(new.kernel, new.gauges)))
             passed = inherited(config.listen)
             if config.passed is not None:
                 passed = socket.socket(fileno=config.passed)
             unsent = int(config.memory_mb * 1e6 * UNSENT_SHARE)
             routers = ThriftFront(loop, owner, kernel, config.listen, room, unsent, self.log, passed)
-            takers.append(lambda new: routers.configure(new.settings))
+            parts.append(at_once(lambda new, _: routers.configure(new.settings)))
             self.fronts.append(routers)
         else:
             owner.post(Booted(None, 0))
         if config.members:
             self.members = members = Members(loop, owner, config.members, config.name, self.log)
-            takers.append(lambda new: members.move(new.members))
+            parts.append(at_once(lambda new, _: members.move(new.members)))
             owner.listeners.append(members)
         owner.listeners += self.fronts
         self.listeners: list = list(self.fronts)
@@ -114,7 +114,7 @@
         for address, sock in (self.inherited or {}).items():
             if address not in self.handed:
                 sock.close()  # of no use here: what waits in its queue is for the process that listens there
-        self.reloading = Reloading(loop, owner, config, path, takers, self.kernel, self.log)
+        self.reloading = Reloading(loop, owner, config, path, parts, self.kernel, self.log)
         if self.kernel:
             self.tasks.append(self.reloading.watch_link)
         if config.state:
@@ -129,20 +129,21 @@
 
             self.capture = Capture(loop, owner, config.capture, config.name, self.log)
             owner.answers.observers.append(self.capture)
-            takers.append(lambda new: self.capture.configure(new.settings))
+            parts.append(at_once(lambda new, _: self.capture.configure(new.settings)))
         self.measures: Any = None
         if config.overload:
             from ochrehoist.net.selfmeasure import SelfMeasure
 
             self.measures = SelfMeasure(loop, owner, config.overload, config.memory_mb, self.fronts, self.log)
-            takers.append(lambda new: self.measures.configure(new.settings, new.overload))
+            parts.append(at_once(
+                lambda new, tenants: self.measures.configure(new.settings, new.overload, tenants)))
         self.peers: Any = None
         if config.peers:
             from ochrehoist.net.peers import Peers
 
             self.peers = Peers(loop, owner, config, self.log)
             owner.listeners.append(self.peers)
-            takers.append(self.peers.configure)
+            parts.append(self.peers.prepare)
             if config.ajp:
                 servers.advisor = self.peers
         self.sites: Any = None
@@ -150,7 +151,7 @@
             from ochrehoist.net.sites import Sites
 
             self.sites = Sites(loop, owner, config, self.peers, self.inherited is None, self.log)
-            takers.append(self.sites.configure)
+            parts.append(at_once(self.sites.configure))
         self.recovery: Any = None
         if config.recovery:
             from ochrehoist.net.recovery import Recovery
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from ochrehoist import interface as i
+from ochrehoist.core.tenants import first
 from ochrehoist.lab import sitestorm
 from ochrehoist.plan import playbook as plan_playbook
 from ochrehoist.plan.fleet import load as load_fleet
@@ -33,7 +34,7 @@
 
 def an_order(costs=(0.1, 0.1, 0.1), quota=None, rate=0.0):
     tenants = (i.Tenant("acme", quota, 1.0),) if quota is not None else ()
-    o = Order((READ, REFRESH, FILING), tenants, 0.1)
+    o = Order((READ, REFRESH, FILING), first(tenants), 0.1)
     for c, cost in zip((READ, REFRESH, FILING), costs, strict=True):
         o.ran(c.name, cost)
     o.fleetwide = Fleetwide({}, {"acme": rate})
