Let the table of tenants be read as a mapping of names to positions

The module's side and the AJP front ask for a mapping of those in force; one that gives a Tenant for a name was another meaning of get(). Change: of() gives the Tenant, the mapping gives positions. Checked by ruff only.

--- a/ochrehoist/core/tenants.py
+++ b/ochrehoist/core/tenants.py
@@ -26,8 +26,19 @@
     at: dict[str, int] = field(default_factory=dict)  # positions of those in force
     gone: dict[str, int] = field(default_factory=dict)
 
-    def get(self, name: str | None) -> Tenant | None:
-        """One that is in force."""
+    def __len__(self) -> int:
+        return len(self.at)
+
+    def __contains__(self, name: object) -> bool:
+        """Whether it is in force."""
+        return name in self.at
+
+    def __getitem__(self, name: str) -> int:
+        """The position of one that is in force."""
+        return self.at[name]
+
+    def of(self, name: str | None) -> Tenant | None:
+        """One that is in force, by its name."""
         position = self.at.get(name)
         return None if position is None else self.places[position]
 
--- a/ochrehoist/limits/door.py
+++ b/ochrehoist/limits/door.py
@@ -121,7 +121,7 @@
         tenants = Counter(cls for cls, _ in sizes)
         asks = []
         for cls, tenant, caller in groups:
-            known = self.tenants.get(tenant)
+            known = self.tenants.of(tenant)
             of_tenant = max(1e-3, known.share) if known is not None else 1.0
             part = 1 / sizes[cls, tenant]
             asks.append(Ask(self.ranks[cls], 1.1 * self.lately[cls, tenant, caller] + 1, of_tenant * part,
--- a/ochrehoist/sites/order.py
+++ b/ochrehoist/sites/order.py
@@ -107,7 +107,7 @@
     # ---- places
     def beyond(self, ident: tuple, tenant: str | None, now: float) -> bool:
         """Whether it is of the part that its tenant sends beyond its share of the fleet."""
-        known = self.tenants.get(tenant)
+        known = self.tenants.of(tenant)
         if known is None:
             return False
         quota = known.quota_per_s
