Read a configuration again by the reader in steps

The reading was one step of some hundred ms at size. It is now load_in_steps(), which gives back what did not change as the same objects; the version told is the one it gives. test_reload passes.

--- a/ochrehoist/reload.py
+++ b/ochrehoist/reload.py
@@ -7,7 +7,6 @@
 import time
 from collections.abc import Callable, Generator, Sequence
 from dataclasses import dataclass, replace
-from hashlib import sha256
 from typing import Any
 
 from ochrehoist import config as configuration
@@ -64,7 +63,7 @@
         self.config, self.kernel, self.watch = config, kernel, LinkWatch()
         self.good = True  # the kernel is within reach, or was a moment ago
         self.last, self.why, self.at = "start", "", time.monotonic()
-        self.version, self.since = _version(config), time.time()  # in force, and since when (Unix s)
+        self.version, self.since = config.version, time.time()  # in force, and since when (Unix s)
         self.reading = False  # a task is at it
         self.ordered = False  # and one more reading is due after it: the file may have changed since
         self.held = self.longest = 0.0  # s that the last reading, and any, held up the loop at most
@@ -162,7 +161,7 @@
 
     def _steps(self, only_new: bool) -> Generator[None, None, Change | None]:
         old = self.config
-        loaded, version = yield from _load_in_steps(self.path)
+        loaded = yield from configuration.load_in_steps(self.path, before=old)
         new, fixed = configuration.taken_over(old, loaded)
         if only_new and new == old:
             return None
@@ -181,7 +180,7 @@
         commits = []
         for prepare in self.parts:
             commits.append((yield from prepare(new, tenants)))
-        return Change(new, version, fixed, message, commits)
+        return Change(new, loaded.version, fixed, message, commits)
 
     def _compacted(self, tenants: Tenants) -> Generator[None, None, Tenants]:
         """Without those that are gone, but for whom a request is open or a filing known."""
@@ -269,16 +268,6 @@
         return {word: n - self.before[word] for word, n in self._counts().items()}
 
 
-def _load_in_steps(path: str | None) -> Generator[None, None, tuple[Config, str]]:
-    yield
-    config = configuration.load(path)
-    return config, _version(config)
-
-
-def _version(config: Config) -> str:
-    return sha256(repr(replace(config, seed=0)).encode()).hexdigest()[:12]
-
-
 def _budgets(config: Config) -> object:
     """What the quotas of tenants here are made of beside the settings."""
     return config.peers and config.peers.budgets
