--- a/ochrehoist/core/retuning.py
+++ b/ochrehoist/core/retuning.py
@@ -6,7 +6,8 @@
 from ochrehoist.core import succession
 from ochrehoist.core.figures import Figures
 from ochrehoist.core.requests import Retuned, TenantsRetuned
-from ochrehoist.core.tenants import Tenants, changed, whole
+from ochrehoist.core.tenants import Tenants, changed
+from ochrehoist.settings import at_once
 
 
 class Core(succession.Core, Protocol):
@@ -22,7 +23,7 @@
 
 def retuned(core: Core, m: Retuned) -> None:
     """By a fresh module, that is told of all that is open: its cost grows with that."""
-    tenants = m.tenants if m.tenants is not None else whole(changed(core.tenants, m.settings.tenants))
+    tenants = m.tenants if m.tenants is not None else at_once(changed(core.tenants, m.settings.tenants))
     core.settings, core.tenants = m.settings, tenants
     core.figures.know(c.name for c in m.settings.classes)
     if core.controller is None:
@@ -36,4 +37,4 @@
     """In the module that there is: positions stay, so nothing that is open need be told again."""
     core.settings, core.tenants = m.settings, m.tenants
     if core.controller is not None:
-        succession.take_up(core, succession.state_of(core))
+        core.tell(i.TenantsChanged(core.told_tenants))
--- a/ochrehoist/core/succession.py
+++ b/ochrehoist/core/succession.py
@@ -9,6 +9,7 @@
 from ochrehoist.core.filings import Filings
 from ochrehoist.core.keys import KeyTable
 from ochrehoist.core.requests import Inbound
+from ochrehoist.core.tenants import Tenants
 
 SECOND = 1_000_000_000
 
@@ -23,6 +24,7 @@
     filings: Filings
     controller: Any
     kinds: dict[str, int]
+    tenants: Tenants
     standby: bool
     now: int
     log: Any
@@ -74,6 +76,6 @@
 def _teach(core: Core, learned: dict | None) -> None:
     try:
         if learned is not None:
-            handover.teach(core.controller, learned, core.now)
+            handover.teach(core.controller, learned, core.now, core.tenants)
     except Exception:  # it learns anew
         core.log.exception("what was learned can't be taken up")
--- a/ochrehoist/core/tenants.py
+++ b/ochrehoist/core/tenants.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Collection, Generator
 from dataclasses import dataclass, field
-from typing import Any
 
 from ochrehoist.interface import Tenant
 
@@ -140,12 +139,3 @@
         if n % STEP == 0:
             yield
     return Tenants(table.listed, tuple(places), at, gone)
-
-
-def whole(steps: Generator[None, None, Any]) -> Any:
-    """What the steps come to, made at once."""
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            return end.value
--- a/ochrehoist/reload.py
+++ b/ochrehoist/reload.py
@@ -31,7 +31,7 @@
 Part = Callable[[Config, Tenants], Steps]  # what takes settings: builds what it needs, and gives the switch
 
 
-def at_once(configure: Callable[[Config, Tenants], None]) -> Part:
+def switch_only(configure: Callable[[Config, Tenants], None]) -> Part:
     """A part that has nothing to prepare."""
     def prepare(new: Config, tenants: Tenants) -> Steps:
         return lambda: configure(new, tenants)
--- a/ochrehoist/worker.py
+++ b/ochrehoist/worker.py
@@ -27,7 +27,7 @@
 from ochrehoist.net.members import Members
 from ochrehoist.net.operators import Answer, Operators, said
 from ochrehoist.net.thrift_front import ThriftFront
-from ochrehoist.reload import Part, Reloading, at_once
+from ochrehoist.reload import Part, Reloading, switch_only
 from ochrehoist.settings import BadInput
 
 RESULT_SHARE = 0.15  # of the process memory, for the results of filings
@@ -79,25 +79,25 @@
             front = AjpFront(loop, owner, servers, config.ajp, most, body_bytes, self.log,
                              inherited(config.ajp.listen))
             self.fronts.append(front)
-            parts += [at_once(lambda new, _: servers.configure(new.ajp)),
-                      at_once(lambda new, _: front.configure(new.ajp, new.settings))]
+            parts += [switch_only(lambda new, _: servers.configure(new.ajp)),
+                      lambda new, _: front.prepare(new.ajp, new.settings)]
         if config.listen:
             kernel = Kernel(loop, owner, config.kernel, config.gauges, self.log)
             self.gauge_source = self.kernel = kernel
             self.tasks.append(kernel.run)
-            parts.append(at_once(lambda new, _: kernel.move(new.kernel, new.gauges)))
+            parts.append(switch_only(lambda new, _: kernel.move(new.kernel, new.gauges)))
             passed = inherited(config.listen)
             if config.passed is not None:
                 passed = socket.socket(fileno=config.passed)
             unsent = int(config.memory_mb * 1e6 * UNSENT_SHARE)
             routers = ThriftFront(loop, owner, kernel, config.listen, room, unsent, self.log, passed)
-            parts.append(at_once(lambda new, _: routers.configure(new.settings)))
+            parts.append(switch_only(lambda new, _: routers.configure(new.settings)))
             self.fronts.append(routers)
         else:
             owner.post(Booted(None, 0))
         if config.members:
             self.members = members = Members(loop, owner, config.members, config.name, self.log)
-            parts.append(at_once(lambda new, _: members.move(new.members)))
+            parts.append(switch_only(lambda new, _: members.move(new.members)))
             owner.listeners.append(members)
         owner.listeners += self.fronts
         self.listeners: list = list(self.fronts)
@@ -129,13 +129,13 @@
 
             self.capture = Capture(loop, owner, config.capture, config.name, self.log)
             owner.answers.observers.append(self.capture)
-            parts.append(at_once(lambda new, _: self.capture.configure(new.settings)))
+            parts.append(switch_only(lambda new, _: self.capture.configure(new.settings)))
         self.measures: Any = None
         if config.overload:
             from ochrehoist.net.selfmeasure import SelfMeasure
 
             self.measures = SelfMeasure(loop, owner, config.overload, config.memory_mb, self.fronts, self.log)
-            parts.append(at_once(
+            parts.append(switch_only(
                 lambda new, tenants: self.measures.configure(new.settings, new.overload, tenants)))
         self.peers: Any = None
         if config.peers:
@@ -151,7 +151,7 @@
             from ochrehoist.net.sites import Sites
 
             self.sites = Sites(loop, owner, config, self.peers, self.inherited is None, self.log)
-            parts.append(at_once(self.sites.configure))
+            parts.append(switch_only(self.sites.configure))
         self.recovery: Any = None
         if config.recovery:
             from ochrehoist.net.recovery import Recovery
