--- a/benchmarks/changes.py
+++ b/benchmarks/changes.py
@@ -50,7 +50,7 @@
 
 # ---- the file
 class Site:
-    """A configuration of so many tenants and routes, one a line."""
+    """A configuration of so many tenants and routes, each a table, as in deploy/."""
 
     def __init__(self, tenants: int, routes: int, server: str) -> None:
         self.rng, self.number = random.Random(tenants), 0
@@ -66,10 +66,10 @@
         self.routes = [self._route(f"/svc{n}/*") for n in range(routes)]
 
     def _tenant(self, name: str) -> str:
-        return toml({"Name": name, "QuotaPerS": 2000.0, "Fraction": self.share})
+        return f'[[settings.Tenants]]\nName = "{name}"\nQuotaPerS = 2000.0\nFraction = {self.share!r}\n'
 
     def _route(self, uri: str) -> str:
-        return toml({"uri": uri, "class": "read"})
+        return f'[[ajp.rules]]\nuri = "{uri}"\nclass = "read"\n'
 
     def change(self) -> dict[str, str]:
         """Another tenant or another route in the place of one, by turns; a request that needs it."""
@@ -88,9 +88,8 @@
         return self.rng.randrange(STABLE, len(lines))
 
     def text(self) -> str:
-        return "\n".join([
-            *self._lines(self.top), "[ajp]", *self._lines(self.ajp), "rules = [", ",\n".join(self.routes),
-            "]", "[settings]", *self._lines(self.settings), "Tenants = [", ",\n".join(self.tenants), "]", ""])
+        return "\n".join([*self._lines(self.top), "[ajp]", *self._lines(self.ajp), "", *self.routes,
+                          "[settings]", *self._lines(self.settings), "", *self.tenants])
 
     def _lines(self, values: dict[str, Any]) -> list[str]:
         return [f"{key} = {toml(value)}" for key, value in values.items()]
