--- a/ochrehoist/lab/scale_report.py
+++ b/ochrehoist/lab/scale_report.py
@@ -36,7 +36,7 @@
     ("state of others", "bytes", _of("state_bytes", "", "p50")),
     ("beat of the module p50", "ms", _of("beat_ms", "", "p50")),
     ("beat of the module max", "ms", _of("beat_ms", "", "max")),
-    ("all know all", "s", lambda run: run.get("join", {}).get("all_s")),
+    ("all know all", "s", lambda run: None if run["spec"].get("met") else run.get("join", {}).get("all_s")),
 )
 
 
