--- a/ochrehoist/lab/hollow.py
+++ b/ochrehoist/lab/hollow.py
@@ -121,8 +121,8 @@
 
     debug = warning = info
 
-    def error(self, event: str, **more: Any) -> None:
-        self.faults[f"{event}: {more['why']}" if "why" in more else event] += 1
+    def error(self, event: str, **_: Any) -> None:
+        self.faults[event] += 1
 
     def exception(self, event: str, **_: Any) -> None:
         self.faults[f"{event}: {sys.exc_info()[1]!r}"] += 1
