Let members that begin as met have heard each other's status and counts too

Seen: a run of 800 at a pace of 0.03 held 440 bytes of the others' statuses after 1 s, where 400 held 6,009 after 3 s: it had not been at rest yet. Met ones begin with all statuses and books.

--- a/ochrehoist/lab/hollow.py
+++ b/ochrehoist/lab/hollow.py
@@ -35,7 +35,7 @@
 from ochrehoist.net.loop import Loop, Signal, steady_clock
 from ochrehoist.net.peers import Peers
 from ochrehoist.peers.members import ALIVE
-from ochrehoist.peers.wire import Life
+from ochrehoist.peers.wire import Entry, Life, Tally
 from ochrehoist.reload import Reloading
 from ochrehoist.worker import BODY_SHARE, RESULT_SHARE
 
@@ -368,17 +368,22 @@
 
     def do_lives(self, tell: Tell) -> dict[str, Any]:
         groups = [h.peers.group for h in self.hollows.values()]
-        return {"lives": [[[g.life.name, g.life.inc, g.life.boot], g.terms.address, g.terms.site]
-                          for g in groups]}
+        return {"lives": [[[g.life.name, g.life.inc, g.life.boot], g.terms.address, g.terms.site, g.version,
+                           g.status.hex()] for g in groups]}
 
     def do_meet(self, tell: Tell, lives: list[Any]) -> dict[str, Any]:
-        """As if each had heard of all others, long enough ago to have told what there is to tell."""
+        """As if each had heard of all others, and from them, and had told what there is to tell."""
         now, refused = time.monotonic(), 0
+        them = [Entry(Life(*life), at, site, ALIVE, version, 0, bytes.fromhex(status))
+                for life, at, site, version, status in lives]
         for h in self.hollows.values():
-            m = h.peers.group.members
-            for life, at, site in lives:
-                if life[0] != m.life.name:
-                    refused += not m.met(Life(*life), at, site, now)
+            g, m = h.peers.group, h.peers.group.members
+            for e in them:
+                if e.life.name != m.life.name and not m.met(e.life, e.address, e.site, now):
+                    refused += 1
+                elif e.life.name != m.life.name:
+                    m.learn(e, 0.0, now)
+                    g.ledger.learn(Tally(e.life, 0, 0, False, {}), 0.0, now)
             m.rumours.clear()
             m.established, m.heard_any = True, now
         return {"refused": refused}
--- a/ochrehoist/lab/scale.py
+++ b/ochrehoist/lab/scale.py
@@ -213,6 +213,7 @@
         self.result["base_mb"] = round(statistics.median(b["base_kb"] for b in begun) / 1024, 1)
         self.result["settings_mb"] = round(statistics.median(b["settings_kb"] for b in begun) / 1024, 1)
         if s.met:
+            await self._wait(2 * BEAT_S)  # until each has a status to tell
             lives = [life for x in await self._ask("lives") for life in x["lives"]]
             met = await self._ask("meet", lives=lives)
             self.result["refused_as_members"] = sum(x["refused"] for x in met)
