--- /dev/null
+++ b/benchmarks/slopes/__main__.py
@@ -0,0 +1,87 @@
+"""Measures all slopes, or one, on any tree: lines, residuals, and the sizes at which bounds break."""
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from benchmarks.slopes import connections, module, state
+from benchmarks.slopes.fit import line
+from benchmarks.slopes.points import Probe, apart
+
+ROOT = Path(__file__).parent.parent.parent
+PROBES = [*module.PROBES, *state.PROBES, *connections.PROBES]
+
+
+def measured(probe: Probe, seeds: int) -> dict:
+    """All points of one probe, and what they come to."""
+    points = []
+    for size in probe.sizes:
+        for seed in range(1, seeds + 1):
+            points.append({"size": size, "seed": seed, **apart(lambda s=size, k=seed: probe.measure(s, k))})
+    sizes = [p["size"] for p in points]
+    names = [name for name in points[0] if name not in ("size", "seed")]
+    lines = {name: line(sizes, [p[name] for p in points]) for name in names}
+    return {"name": probe.name, "grows_with": probe.grows_with, "goal": probe.goal, "points": points,
+            "lines": {name: {"base": x.base, "slope": x.slope, "residual": x.residual, "power": x.power,
+                             "at_goal": x.at(probe.goal)} for name, x in lines.items()},
+            "bounds": [{"measure": b.measure, "most": b.most, "why": b.why,
+                        "breaks_at": lines[b.measure].breaks_at(b.most)} for b in probe.bounds]}
+
+
+def told(row: dict, before: dict | None) -> None:
+    largest = max(p["size"] for p in row["points"])
+    print(f"\n{row['name']}: by {row['grows_with']}, up to {largest:,}; goal {row['goal']:,.0f}")
+    for name, x in row["lines"].items():
+        mine = [p[name] for p in row["points"] if p["size"] == largest]
+        was = ""
+        if before and name in before["lines"]:
+            top = [p[name] for p in before["points"] if p["size"] == largest]
+            was = f"; before {sum(top) / len(top):,.1f}" if top else ""
+        print(f"  {name:20} {x['base']:12,.1f} + {x['slope']:.6g} n, residual {x['residual']:.3f}, power "
+              f"{x['power']:.2f}; at {largest:,}: {sum(mine) / len(mine):,.1f}{was}")
+    for b in row["bounds"]:
+        part = None if b["breaks_at"] is None else b["breaks_at"] / row["goal"]
+        at = "no size up to ten times the goal" if part is None or part > 10 else \
+            f"{b['breaks_at']:,.0f} = {part:.2%} of the goal"
+        print(f"  bound {b['measure']} <= {b['most']:,.0f} ({b['why']}): breaks at {at}", flush=True)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--root", type=Path, default=ROOT, help="the tree whose program is measured")
+    parser.add_argument("--json", type=Path)
+    parser.add_argument("--only", help="probes whose name holds this")
+    parser.add_argument("--against", type=Path, help="an earlier --json, told beside")
+    parser.add_argument("--seeds", type=int, default=2)
+    args = parser.parse_args()
+    sys.path.insert(0, str(args.root.resolve()))
+    connections.ROOT = args.root.resolve()
+    before = {r["name"]: r for r in json.loads(args.against.read_text())["slopes"]} if args.against else {}
+    version = subprocess.run(["git", "rev-parse", "--short", "HEAD"], cwd=args.root, capture_output=True,
+                             text=True).stdout.strip()
+    out = {"version": version, "date": time.strftime("%Y-%m-%d %H:%M"), "load": os.getloadavg(),
+           "cores": os.cpu_count(), "seeds": args.seeds, "slopes": [], "failed": {}}
+    print(f"version {version}, load {out['load'][0]:.1f} on {out['cores']} cores, {args.seeds} seeds")
+    for probe in PROBES:
+        if args.only and args.only not in probe.name:
+            continue
+        try:
+            row = measured(probe, args.seeds)
+        except (RuntimeError, ValueError) as error:
+            out["failed"][probe.name] = str(error)
+            print(f"\n{probe.name}: FAILED: {error}", flush=True)
+            continue
+        out["slopes"].append(row)
+        told(row, before.get(probe.name))
+    out["load_after"] = os.getloadavg()
+    if args.json:
+        args.json.write_text(json.dumps(out, indent=1))
+    print(f"\nload at the end {out['load_after'][0]:.1f}; failed: {len(out['failed'])}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/slopes/fit.py
@@ -0,0 +1,51 @@
+"""Straight lines through what was measured, and the size at which one meets a bound. No I/O."""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+FEWEST = 4  # sizes under which no slope is told
+
+
+@dataclass(frozen=True)
+class Line:
+    """`base` + `slope` * size, by least squares. `residual`: root of the mean square of what it misses, in
+    parts of the largest value. `power`: the growth from the last size but one to the last, as an exponent:
+    near 1 what is straight, near 0 what does not grow, above 1 what the line tells too low beyond."""
+
+    base: float
+    slope: float
+    residual: float
+    power: float
+
+    def at(self, size: float) -> float:
+        return self.base + self.slope * size
+
+    def breaks_at(self, bound: float) -> float | None:
+        """The size at which it meets the bound; None where it never does."""
+        if self.base >= bound:
+            return 0.0
+        return (bound - self.base) / self.slope if self.slope > 0 else None
+
+
+def line(sizes: Sequence[float], values: Sequence[float]) -> Line:
+    """Raises ValueError under four different sizes: a slope of fewer can't show that it is one."""
+    if len(sizes) != len(values) or len(set(sizes)) < FEWEST:
+        raise ValueError(f"a slope needs {FEWEST} sizes or more, each with its value")
+    n = len(sizes)
+    mean_x, mean_y = sum(sizes) / n, sum(values) / n
+    spread = sum((x - mean_x) ** 2 for x in sizes)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in zip(sizes, values, strict=True)) / spread
+    base = mean_y - slope * mean_x
+    missed = math.sqrt(sum((y - base - slope * x) ** 2 for x, y in zip(sizes, values, strict=True)) / n)
+    top = max(map(abs, values))
+    return Line(base, slope, missed / top if top else 0.0, _power(sizes, values))
+
+
+def _power(sizes: Sequence[float], values: Sequence[float]) -> float:
+    by_size: dict[float, list[float]] = {}
+    for x, y in zip(sizes, values, strict=True):
+        by_size.setdefault(x, []).append(y)
+    (x1, a), (x2, b) = sorted(by_size.items())[-2:]
+    before, last = sum(a) / len(a), sum(b) / len(b)
+    return math.log(last / before) / math.log(x2 / x1) if before > 0 and last > 0 and x1 > 0 else 0.0
--- /dev/null
+++ b/benchmarks/slopes/module.py
@@ -0,0 +1,191 @@
+"""The decision module: its beat and a request's decision, by all that it keeps."""
+
+from itertools import count
+from random import Random
+from typing import Any
+
+from benchmarks.slopes.points import Bound, Measures, Probe, cpu_us, each_us, grown
+
+MS = 1_000_000
+S = 1000 * MS
+BEAT = Bound("beat_us", 2100, "2.1% of a core at ten beats a second")
+TURN = Bound("decision_us", 5400, "5.4 ms on a request's way")
+HELD_UP = Bound("beat_us", 5400, "5.4 ms on a request's way")
+
+
+def settings(tenants: int = 3, classes: int = 2, **changes: Any) -> Any:
+    """Of an appliance as its deploy file has it: reads first, the last class of filings."""
+    from ochrehoist import interface as i
+
+    aim = changes.pop("aim", 900 * MS)
+    kinds = tuple(
+        i.RequestClass(name=f"class-{n}", aim=aim, deadline=2 * aim, worth=1.0 + n % 3,
+                       repeat=i.Repeat.KEYED if n == classes - 1 else i.Repeat.SAFE,
+                       window=900 * S if n == classes - 1 else 0) for n in range(classes))
+    named = tuple(i.Tenant(f"tenant-{n:06}", 100.0, 1 / max(1, tenants)) for n in range(tenants))
+    values = {"classes": kinds, "tenants": named, "cores": 16, "memory_kb": 90e6, "tip_multiple": 5.0,
+              "fall": S, "run_factor": 4.0, "key_kb": 10.0, "callers": 2, "idle": 30 * S, "fleet_size": 2,
+              "goal": i.Goal(0.5, 0.1, 0.2, 0.2), "max_backoff": S, "over_share_worth": 0.2}
+    return i.Settings(**values | changes)
+
+
+class Driver:
+    """A module and a clock; requests that end as they start, unless they are held."""
+
+    def __init__(self, given: Any, seed: int) -> None:
+        from ochrehoist import interface as i
+        from ochrehoist.rules import AdmissionController
+
+        self.i, self.given, self.rng = i, given, Random(seed)
+        self.module, self.now, self.ids = AdmissionController(given, seed), S, count()
+        self.tell(i.Started())
+
+    def tell(self, event: Any) -> list:
+        return self.module.handle(self.now, event)
+
+    def request(self, kind: int = 0, caller: int = 0, tenant: int | None = None, kb: float = 24.0) -> str:
+        """One that comes; its id."""
+        name = f"r{next(self.ids)}"
+        if tenant is None and self.given.tenants:
+            tenant = self.rng.randrange(len(self.given.tenants))
+        self.tell(self.i.Request(name, kind, tenant=tenant, memory_kb=kb, caller=caller))
+        return name
+
+    def through(self, kind: int = 0, caller: int = 0) -> None:
+        """One that comes, runs and ends."""
+        name = self.request(kind, caller)
+        self.now += 4 * MS
+        self.tell(self.i.Completed(name, self.i.Outcome.OK, 4 * MS))
+
+    def beat(self) -> None:
+        self.now += MS  # so little that nothing runs out while a beat is measured again and again
+        self.tell(self.i.Alarm(1, {"cpu_busy": 0.5, "runnable": 1.0}))
+
+    def measured(self) -> Measures:
+        for _ in range(30):
+            self.through()
+        busy = []
+
+        def busy_beat() -> None:
+            for _ in range(17):  # 171 a second
+                self.through()
+            busy.append(cpu_once(self.beat))
+
+        quiet = cpu_us(self.beat)
+        for _ in range(9):
+            busy_beat()
+        return {"beat_us": quiet, "busy_beat_us": sorted(busy)[4],
+                "decision_us": each_us(self.through, 200)}
+
+
+def cpu_once(call: Any) -> float:
+    import time
+
+    began = time.thread_time()
+    call()
+    return (time.thread_time() - began) * 1e6
+
+
+def by_tenants(size: int, seed: int) -> Measures:
+    given, of_settings = grown(lambda: settings(size))
+    driver, of_module = grown(lambda: Driver(given, seed))
+    for _ in range(2000):  # tenants that were active: what is kept of them counts too
+        driver.through()
+    return driver.measured() | {"settings_bytes": of_settings, "module_bytes": of_module}
+
+
+def by_classes(size: int, seed: int) -> Measures:
+    return Driver(settings(classes=size), seed).measured()
+
+
+def by_callers(size: int, seed: int) -> Measures:
+    """All of them sent lately, and each took back as many as are remembered."""
+    driver = Driver(settings(), seed)
+
+    def heard() -> None:
+        for caller in range(size):
+            name = driver.request(caller=caller)
+            driver.tell(driver.i.Completed(name, driver.i.Outcome.OK, 4 * MS))
+            for _ in range(12):
+                driver.module._on_left(_Left(caller, driver.now))
+
+    _, of_callers = grown(heard)
+    assert len(driver.module.heard) == size, len(driver.module.heard)
+    out = driver.measured() | {"bytes": of_callers}
+    assert len(driver.module.heard) >= size, len(driver.module.heard)
+    driver.now += 11 * S  # all of them are forgotten in one beat
+    out["forgetting_beat_us"] = cpu_once(driver.beat)
+    assert not driver.module.heard
+    return out
+
+
+class _Left:
+    """As much of a job as `_on_left` looks at."""
+
+    def __init__(self, caller: int, now: int) -> None:
+        self.r, self.caller, self.arrived = self, caller, now - 450 * MS
+
+
+def by_keys(size: int, seed: int) -> Measures:
+    """Filings that ran within their window."""
+    driver = Driver(settings(), seed)
+
+    def ran() -> None:
+        for _ in range(size):
+            driver.through(kind=1)
+            driver.now -= 4 * MS
+
+    _, of_keys = grown(ran)
+    out = driver.measured() | {"bytes": of_keys, "filing_us": each_us(lambda: driver.through(kind=1), 50)}
+    assert len(driver.module.past) >= size
+    driver.now += 3000 * S  # they run out together: the worst beat there is
+    return out | {"forgetting_beat_us": cpu_once(driver.beat)}
+
+
+def _held(size: int, seed: int, tenants: int) -> Measures:
+    """All that wait do so behind runs that do not end; they would end in time if those did."""
+    driver = Driver(settings(tenants, cores=2, aim=60 * S), seed)
+    for mean in driver.module.took:
+        mean.value = 4.0 * MS
+    driver.module.curve.base = 500.0
+    driver.module._rebuild()
+    at = count()
+
+    def comes() -> str:
+        return driver.request(tenant=next(at) % tenants)
+
+    def comes_and_leaves() -> None:
+        name = comes()
+        driver.now += 60_000
+        driver.tell(driver.i.CallerGone(name))
+
+    for _ in range(3 * size + 200):
+        if len(driver.module.held) >= size:
+            break
+        comes()
+    assert len(driver.module.held) >= size, len(driver.module.held)
+    return {"groups": len(driver.module.groups), "decision_us": each_us(comes_and_leaves, 200),
+            "beat_us": cpu_us(driver.beat)}
+
+
+def held_of_few(size: int, seed: int) -> Measures:
+    return _held(size, seed, 3)
+
+
+def held_of_many(size: int, seed: int) -> Measures:
+    """Each of a tenant of its own: as many groups as requests."""
+    return _held(size, seed, size)
+
+
+PROBES = [
+    Probe("module by tenants", "tenants", (3, 1000, 5000, 20000, 58000), by_tenants, 58000,
+          (BEAT, HELD_UP, TURN)),
+    Probe("module by classes", "classes", (2, 34, 340, 1000), by_classes, 340, (BEAT, TURN)),
+    Probe("module by callers", "callers", (100, 1000, 5000, 19000), by_callers, 19000,
+          (BEAT, TURN, Bound("forgetting_beat_us", 5400, "5.4 ms on a request's way"))),
+    Probe("module by queue", "requests held", (10, 100, 1000, 3600), held_of_few, 3600, (TURN, BEAT)),
+    Probe("module by queue of many tenants", "requests held, each of another tenant", (10, 100, 400, 1200),
+          held_of_many, 3600, (TURN, BEAT)),
+    Probe("module by keys", "filings within two windows", (1000, 5000, 20000, 60000), by_keys, 30780,
+          (BEAT, TURN, Bound("forgetting_beat_us", 5400, "5.4 ms on a request's way"))),
+]
--- /dev/null
+++ b/benchmarks/slopes/state.py
@@ -0,0 +1,236 @@
+"""What is kept and told beside the module: figures, learned state, handover, keys, the members' answers."""
+
+import json
+import time
+from typing import Any
+
+from benchmarks.slopes.module import MS, Driver, S, settings
+from benchmarks.slopes.points import Bound, Measures, Probe, cpu_us, each_us, grown
+
+TURN = "5.4 ms on a request's way"
+LINE = Bound("line_bytes", 8 << 20, "net.link.MAX_LINE and MAX_UNSENT")
+DATAGRAM = Bound("answer_bytes", 16_384, "peers.wire.MOST: past it the answer is never sent")
+
+
+def figures_by_classes(size: int, seed: int) -> Measures:
+    from ochrehoist.core.figures import Figures
+
+    figures = Figures(f"class-{n}" for n in range(size))
+    return {"text_bytes": len(figures.text(0)), "text_us": cpu_us(lambda: figures.text(0))}
+
+
+def _taught(size: int, seed: int) -> Driver:
+    driver = Driver(settings(size), seed)
+    for _ in range(300):
+        driver.through()
+    driver.beat()
+    return driver
+
+
+def learned_by_tenants(size: int, seed: int) -> Measures:
+    """As each handover, each new setting and, with [state], each 5 s have it."""
+    from ochrehoist.core import handover
+
+    module = _taught(size, seed).module
+    known = handover.learned(module)
+    text = json.dumps(known, separators=(",", ":"))
+    return {"line_bytes": len(text), "learned_us": cpu_us(lambda: handover.learned(module)),
+            "line_us": cpu_us(lambda: json.dumps(known, separators=(",", ":"))),
+            "taught_us": cpu_us(lambda: handover.teach(module, known, module.now)),
+            "read_us": cpu_us(lambda: json.loads(text))}
+
+
+def learned_by_callers(size: int, seed: int) -> Measures:
+    from ochrehoist.core import handover
+
+    driver = Driver(settings(), seed)
+    for caller in range(size):
+        driver.module.heard[caller] = driver.now
+        driver.module.left[caller] = [450 * MS] * 12
+        driver.module.patience[caller] = 450 * MS, driver.now + 10 * S
+    known = handover.learned(driver.module)
+    return {"line_bytes": len(json.dumps(known, separators=(",", ":"))),
+            "learned_us": cpu_us(lambda: handover.learned(driver.module))}
+
+
+def _keys(size: int) -> Any:
+    from ochrehoist.core.keys import KeyTable
+    from ochrehoist.core.requests import Result
+    from ochrehoist.interface import Outcome
+
+    table = KeyTable(2 * S, 1 << 40)
+    for n in range(size):
+        token = f"tenant-{n % 1000:06}", "class-1", f"key {n:032}"
+        table.keep(token, f"r{n}", 900 * S, (None, bytes(32)))
+        table.started(token, f"r{n}", 900 * S, (None, bytes(32)))
+        table.ended(token, f"r{n}", Result(Outcome.OK, b"done" * 75), 900)
+    return table
+
+
+def keys(size: int, seed: int) -> Measures:
+    """Filings within their window: the sweep is made each second, on the loop."""
+    table, of_keys = grown(lambda: _keys(size))
+    out = {"bytes": of_keys, "sweep_us": cpu_us(lambda: table.sweep(10 * S))}
+    assert len(table.runs) == size
+    began = time.thread_time()
+    table.sweep(1000 * S)
+    return out | {"last_sweep_us": (time.thread_time() - began) * 1e6}
+
+
+def handover_by_keys(size: int, seed: int) -> Measures:
+    from ochrehoist.core import handover
+
+    state = handover.State(keys=_keys(size))
+
+    class Plain:
+        def to_json(self, detail: Any) -> Any:
+            return detail
+
+    def lines() -> int:
+        return sum(len(json.dumps(line, separators=(",", ":"))) + 1
+                   for line in handover.lines(state, 0, Plain()))
+
+    return {"state_bytes": lines(), "state_us": cpu_us(lines)}
+
+
+def deadlines(size: int, seed: int) -> Measures:
+    from ochrehoist.core.deadlines import Deadlines
+
+    heap = Deadlines()
+    _, of_heap = grown(lambda: [heap.answer_by(n * MS, f"request-{n}") for n in range(size)])
+    at = iter(range(size, 10**9))
+
+    def one() -> None:
+        heap.answer_by(next(at) * MS, "request")
+        heap.next()
+        for _ in heap.past_due(heap.backstops[0][0]):
+            break
+
+    return {"bytes": of_heap, "request_us": each_us(one, 1000)}
+
+
+# ---- what members say to each other
+def answer_by_tenants(size: int, seed: int) -> Measures:
+    """An answer of a member to a ping, where so many tenants were answered anything at each of five."""
+    from ochrehoist.peers import wire
+    from ochrehoist.peers.counts import Ledger
+    from ochrehoist.peers.wire import Ack, Life, Message, Tally
+
+    counts = {f"tenant/tenant-{n:06}/answered": 1000 + n for n in range(size)}
+    me = Life("worker-0001", 1_700_000_000_000, 1 << 61)
+    ledger = Ledger(me, 3000)
+    for key, n in counts.items():
+        ledger.add(key, n)
+    for n in range(4):
+        ledger.learn(Tally(Life(f"worker-{n + 2:04}", me.inc, me.boot), 1, 0, False, dict(counts)), 0, 0)
+    ack = Ack(1 << 61, "", [], [], ledger.to_tell(1.0))
+    message = Message("group", me, "worker-0002", me.inc, 7, [ack])
+    length = 2 + 16 + 1 + len(wire._encode(message))
+    return {"answer_bytes": length, "told_us": cpu_us(lambda: wire._encode(
+        Message("group", me, "worker-0002", me.inc, 7, [Ack(1, "", [], [], ledger.to_tell(1.0))])))}
+
+
+def word_by_tenants(size: int, seed: int) -> Measures:
+    """What a worker with [sites] puts into each answer, once so many tenants were heard."""
+    from ochrehoist.sites.desk import Desk
+
+    desk = Desk("worker-0001", "site-a", settings(size), None, 1.0, False)
+    for n in range(size):
+        desk.order.came((f"tenant-{n:06}", "class-0", n), "class-0", f"tenant-{n:06}", False, 1.0)
+    return {"answer_bytes": len(desk.status(1.5)), "status_us": cpu_us(lambda: desk.status(1.5)),
+            "look_us": cpu_us(lambda: desk.look(1.6, []))}
+
+
+def _group(members: int, seed: int, counted: int = 20, lives: int = 1) -> Any:
+    from ochrehoist.peers.group import Group, Terms
+    from ochrehoist.peers.members import ALIVE, Member
+    from ochrehoist.peers.rights import Budget
+    from ochrehoist.peers.wire import Evidence, Holding, Life, Status, Tally, encode_status
+
+    names = [f"worker-{n:04}" for n in range(members)]
+    voters = tuple(names[:7])
+    terms = Terms("group", "127.0.0.1:1", "a", {n: f"127.0.0.1:{9000 + k}" for k, n in enumerate(names)},
+                  (), 0.1, (Budget("again", 70, voters),), ("s1", "s2"), 0.5, 3000)
+    group = Group(terms, Life("worker-0000", 1, 1), 0.0, seed)
+    status = encode_status(Status(False, False, [Evidence("s1", "ok", 8, 10, 1.0)],
+                                  [Holding("again", 0, 1, 0)]))
+    for k, name in enumerate(names[1:]):
+        group.members.members[name] = Member(Life(name, 1, k), f"127.0.0.1:{9001 + k}", "a", ALIVE, 0.0, 0.5,
+                                             0.0, set(), 1, 0.5, status)
+        for life in range(lives):
+            group.ledger.learn(Tally(Life(name, 1 + life, k), 1, 0, False, {
+                f"tenant/t{n}/answered": n for n in range(counted)}), 0.0, 0.0)
+    group.members.established, group.members.heard_any = True, 0.5
+    return group
+
+
+def group_by_members(size: int, seed: int) -> Measures:
+    """A member's own beat (20 a second) and its page for operators; messages are the scale run's."""
+    from ochrehoist.peers.view import told
+
+    group, of_group = grown(lambda: _group(size, seed))
+    now = [1.0]
+
+    def beat() -> None:
+        now[0] += 0.05
+        group.members.heard_any = now[0]
+        group.members.probes.clear()
+        group.beat(now[0])
+
+    return {"bytes": of_group, "beat_us": cpu_us(beat), "status_us": cpu_us(lambda: told(group, now[0]))}
+
+
+def remembered(size: int, seed: int) -> Measures:
+    """What a witness keeps of others' filings: it looks through all of it each second, on the loop."""
+    from ochrehoist.recovery.witness import Memory, Tell
+
+    memory = Memory(0.0)
+
+    def fill() -> None:
+        for n in range(0, size, 100):
+            memory.took(f"worker-{n % 5}", Tell(n, [((n + k).to_bytes(16, "big"), 900_000)
+                                                    for k in range(100)]), 0.0)
+
+    _, of_memory = grown(fill)
+    return {"bytes": of_memory, "forget_us": cpu_us(lambda: memory.forget(1.0))}
+
+
+def record_head(size: int, seed: int) -> Measures:
+    """The head of each file of [capture]."""
+    from ochrehoist.capture.records import Head, block
+
+    s = settings(size)
+
+    def head() -> Head:
+        return Head("worker", 0, 1.0, s.cores, s.memory_kb, tuple(
+            (c.name, c.aim, c.deadline, c.worth, c.late_worth) for c in s.classes),
+            tuple((t.name, t.quota_per_s) for t in s.tenants))
+
+    return {"bytes": len(block([head()])), "on_loop_us": cpu_us(head), "off_loop_us": cpu_us(
+        lambda: block([head()]))}
+
+
+PROBES = [
+    Probe("members' answer by tenants counted", "tenants answered at five members", (10, 30, 60, 90, 200),
+          answer_by_tenants, 58000, (DATAGRAM,)),
+    Probe("sites' word by tenants heard", "tenants heard", (10, 100, 500, 2000), word_by_tenants, 58000,
+          (DATAGRAM, Bound("look_us", 2100, "2.1% of a core at ten looks a second"))),
+    Probe("learned state by tenants", "tenants", (3, 1000, 5000, 20000, 58000), learned_by_tenants, 58000,
+          (LINE, Bound("learned_us", 5400, TURN), Bound("line_us", 5400, TURN))),
+    Probe("learned state by callers", "callers", (100, 1000, 5000, 19000), learned_by_callers, 19000,
+          (LINE, Bound("learned_us", 5400, TURN))),
+    Probe("key table", "filings within their window", (1000, 5000, 20000, 60000), keys, 15390,
+          (Bound("sweep_us", 5400, TURN), Bound("sweep_us", 21000, "2.1% of a core, each second"))),
+    Probe("handover of keys", "filings within their window", (1000, 5000, 20000, 40000), handover_by_keys,
+          15390, (Bound("state_us", 500_000, "net.link.STILL for what is held"),)),
+    Probe("last moments", "requests within their deadline", (100, 1000, 10000, 100000), deadlines, 5130),
+    Probe("figures by classes", "classes", (2, 34, 340, 1000), figures_by_classes, 340,
+          (Bound("text_us", 5400, TURN), Bound("text_bytes", 60_000, "4 KB a second, read each 15 s"))),
+    Probe("group by members", "members", (10, 50, 200, 800, 1700), group_by_members, 1700,
+          (Bound("beat_us", 1050, "2.1% of a core at twenty beats a second"),
+           Bound("status_us", 5400, TURN))),
+    Probe("witness", "filings remembered", (1000, 10000, 50000, 200000), remembered, 76950,
+          (Bound("forget_us", 5400, TURN),)),
+    Probe("head of a record of load", "tenants", (3, 1000, 5000, 20000, 58000), record_head, 58000,
+          (Bound("on_loop_us", 5400, TURN),)),
+]
--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,64 @@
+"""The lines that docs/CAPACITY.md rests on: what a fit tells, and when it tells none."""
+
+import random
+import unittest
+
+from stand_ins import ROOT  # noqa: F401 - the tree is on the path from here on
+
+from benchmarks.slopes import points
+from benchmarks.slopes.fit import line
+
+
+class Lines(unittest.TestCase):
+    def test_a_straight_line_is_found_whole(self):
+        sizes = [3, 1000, 20000, 58000]
+        found = line(sizes, [40 + 1.25 * n for n in sizes])
+        self.assertAlmostEqual(found.base, 40, places=6)
+        self.assertAlmostEqual(found.slope, 1.25, places=9)
+        self.assertLess(found.residual, 1e-9)
+        self.assertAlmostEqual(found.power, 1.0, delta=0.01)
+        self.assertAlmostEqual(found.breaks_at(2100), 1648, places=6)
+
+    def test_two_seeds_at_each_size_count_alike(self):
+        found = line([1, 1, 2, 2, 3, 3, 4, 4], [9, 11, 19, 21, 29, 31, 39, 41])
+        self.assertAlmostEqual(found.slope, 10)
+        self.assertAlmostEqual(found.base, 0, places=9)
+        self.assertAlmostEqual(found.residual, 1 / 41)
+
+    def test_what_bends_shows_in_residual_and_power(self):
+        sizes = [100, 1000, 5000, 19000]
+        found = line(sizes, [n * n / 1000 for n in sizes])
+        self.assertGreater(found.residual, 0.05)
+        self.assertAlmostEqual(found.power, 2.0)
+
+    def test_what_does_not_grow_breaks_nowhere(self):
+        found = line([1, 10, 100, 1000], [5, 5, 5, 5])
+        self.assertIsNone(found.breaks_at(6))
+        self.assertEqual(found.breaks_at(5), 0.0)
+        self.assertEqual(found.power, 0.0)
+
+    def test_noise_leaves_the_slope_near_the_truth(self):
+        for seed in range(20):
+            rng = random.Random(seed)
+            sizes = [n for n in (100, 1000, 10000, 50000) for _ in range(2)]
+            found = line(sizes, [(10 + 2 * n) * rng.uniform(0.9, 1.1) for n in sizes])
+            self.assertLess(abs(found.slope / 2 - 1), 0.12, seed)
+
+    def test_three_sizes_tell_no_slope(self):
+        for sizes in ([1, 2, 3], [1, 1, 2, 2, 3, 3]):
+            with self.assertRaisesRegex(ValueError, "4 sizes"):
+                line(sizes, [float(n) for n in sizes])
+        with self.assertRaisesRegex(ValueError, "each with its value"):
+            line([1, 2, 3, 4], [1.0])
+
+
+class Points(unittest.TestCase):
+    def test_a_point_comes_back_from_its_own_process(self):
+        self.assertEqual(points.apart(lambda: {"n": 3.0}), {"n": 3.0})
+
+    def test_a_point_that_fails_is_no_figure(self):
+        def fails():
+            raise AssertionError("17 of 20 were held")
+
+        with self.assertRaisesRegex(RuntimeError, "17 of 20 were held"):
+            points.apart(fails)
