--- a/ochrehoist/core/filings.py
+++ b/ochrehoist/core/filings.py
@@ -18,6 +18,7 @@
     Restored,
     Result,
 )
+from ochrehoist.core.tenants import Tenants
 
 RESULT_OVERHEAD = 600  # bytes that one remembered run takes beyond its result
 
@@ -30,7 +31,7 @@
     answers: Answers
     controller: Any  # None until the module is up
     kinds: dict[str, int]
-    tenants: dict[str, int]
+    tenants: Tenants
     now: int
     log: Any
     tell: Callable[[i.Event], Any]
--- a/ochrehoist/core/succession.py
+++ b/ochrehoist/core/succession.py
@@ -9,6 +9,7 @@
 from ochrehoist.core.filings import Filings
 from ochrehoist.core.keys import KeyTable
 from ochrehoist.core.requests import Inbound
+from ochrehoist.core.tenants import Tenants
 
 SECOND = 1_000_000_000
 
@@ -23,7 +24,7 @@
     filings: Filings
     controller: Any
     kinds: dict[str, int]
-    tenants: dict[str, int]
+    tenants: Tenants
     standby: bool
     now: int
     log: Any
--- a/ochrehoist/settings.py
+++ b/ochrehoist/settings.py
@@ -1,8 +1,11 @@
 """The settings object, as it comes in the simulator's first message and in a worker's configuration."""
 
-import json
+import gc
 import math
+from collections.abc import Generator, Mapping, Sequence
+from typing import Any, TypeVar
 
+from ochrehoist import config_json
 from ochrehoist import interface as i
 
 REPEATS = {"idempotent": i.Repeat.SAFE, "deduplicated": i.Repeat.KEYED, "at_most_once": i.Repeat.UNSAFE}
@@ -11,11 +14,17 @@
           "share_of": i.Advice.WEIGHT}
 PREEMPTION = {"off": i.Preemption.NONE, "abort": i.Preemption.DROP, "suspend": i.Preemption.PAUSE}
 REQUIRED = object()
+STEP = 1000  # tenants looked at in one step
+STAY = 4000  # new tenants after which the collector is told that they stay
+
+T = TypeVar("T")
 
 
 class BadInput(Exception):
     """A line or a setting that cannot be used; the text names it."""
 
+    first: int | None = None  # of two elements that can't be together, the place of the other
+
 
 # ---- settings
 
@@ -107,18 +116,116 @@
     return tuple(out)
 
 
-def _tenants(top):
-    out = []
-    for at, data in enumerate(top.items("Tenants", [])):
-        t = Reader(data, f"Tenants[{at}].")
-        out.append(i.Tenant(t.text("Name"), t.number("QuotaPerS"), t.number("Fraction", 0.0)))
-    return tuple(out)
+class Tenants:
+    """Makes the elements of `Tenants`; one that is as before comes back as the same object."""
+
+    fresh = 0  # tenants made by this process since the collector was told
+
+    def __init__(self, before: tuple[i.Tenant, ...] = (), places: Mapping[str, int] | None = None) -> None:
+        self.before, self.places = before, places or {}
+
+    def take(self, data: Any) -> Any:
+        """The tenant, or the data as they are where they can't be used: all_in_steps() tells why."""
+        try:
+            return self._known(data) or self._checked(data, "")
+        except BadInput:
+            return data
+
+    def _known(self, data: Any) -> i.Tenant | None:
+        """That of before with the same values."""
+        if type(data) is not dict or type(name := data.get("Name")) is not str or name not in self.places:
+            return None
+        known, quota, share = self.before[self.places[name]], data.get("QuotaPerS"), data.get("Fraction", 0.0)
+        same = known.quota_per_s == quota and known.share == share
+        return known if same and type(quota) is not bool and type(share) is not bool else None
+
+    def _checked(self, data: Any, path: str) -> i.Tenant:
+        """Raises BadInput, which names the key after `path`."""
+        t = Reader(data, path)
+        tenant = i.Tenant(t.text("Name"), t.number("QuotaPerS"), t.number("Fraction", 0.0))
+        Tenants.fresh += 1
+        if Tenants.fresh == STAY:
+            # Looking through tens of thousands of them again and again would hold up the loop. Not more often
+            # than this: what is garbage by now, in cycles, stays too.
+            Tenants.fresh = 0
+            gc.freeze()
+        return tenant
+
+    def all_in_steps(self, listed: Sequence[Any]) \
+            -> Generator[None, None, tuple[tuple[i.Tenant, ...], Mapping[str, int]]]:
+        """All of them, and their places by name. `listed`: data, tenants, and ranges of those of before.
+
+        Raises BadInput.
+        """
+        at, moved, same = 0, len(self.places) != len(self.before), True
+        parts: list[range | list[i.Tenant]] = []
+        for number, item in enumerate(listed):
+            if type(item) is range:
+                moved |= item.start != at
+                at += len(item)
+                parts.append(item)
+            else:
+                if type(item) is not i.Tenant:
+                    item = self._known(item) or self._checked(item, f"Tenants[{at}].")
+                was = self.before[at] if at < len(self.before) else None
+                same &= item is was
+                moved |= was is None or item.name != was.name
+                at += 1
+                if not parts or type(parts[-1]) is range:
+                    parts.append([])
+                parts[-1].append(item)
+            if not (number + 1) % STEP:
+                yield
+        same &= at == len(self.before) and not moved
+        tenants = self.before if same else (yield from spliced_in_steps(parts, self.before))
+        if at == len(self.before) and not moved:
+            return tenants, self.places
+        places: dict[str, int] = {}
+        for at, tenant in enumerate(tenants):
+            first = places.setdefault(tenant.name, at)
+            if first != at:
+                raise _twice(tenant.name, at, first)
+            if not (at + 1) % STEP:
+                yield
+        return tenants, places
+
+
+def spliced_in_steps(parts: Sequence[range | list[T]], before: tuple[T, ...]) \
+        -> Generator[None, None, tuple[T, ...]]:
+    """All of the parts; a range stands for elements of before."""
+    out: list[T] = parts[0] if len(parts) == 1 and type(parts[0]) is list else []
+    for part in parts if not out else ():
+        out += before[part.start:part.stop] if type(part) is range else part
+    if len(out) <= STEP:
+        return tuple(out)
+    yield
+    whole = tuple(out)
+    out.clear()
+    # Looked through now, it is so once, while in the caches; later it would be twice, and take longer.
+    gc.collect(1)
+    yield
+    return whole
+
+
+def _twice(name: str, at: int, first: int) -> BadInput:
+    error = BadInput(f"setting Tenants[{at}].Name: {name!r} is the name of Tenants[{first}] too")
+    error.first = first
+    return error
+
+
+def at_once(steps: Generator[None, None, T]) -> T:
+    """What the steps come to, without a pause."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
 
 
 def read_settings(text):
     """The settings object of a CREATE message, as the controller's Settings."""
     try:
-        data = json.loads(text)
+        data = at_once(config_json.read_in_steps(text, {("Tenants",): Tenants().take}))
     except ValueError as error:
         raise BadInput(f"message CREATE field Settings: {error}") from None
     return settings_from(data)
@@ -126,14 +233,22 @@
 
 def settings_from(data):
     """The settings object, already parsed, as the controller's Settings."""
+    return at_once(settings_in_steps(data, Tenants()))[0]
+
+
+def settings_in_steps(data: Any, tenants: Tenants) \
+        -> Generator[None, None, tuple[i.Settings, dict[str, int]]]:
+    """As settings_from(), and the places of the tenants by name. Tenants in `data` may be made already."""
     top = Reader(data, "")
     info, rules, limits = top.part("FamilyInfo"), top.part("Rules"), top.part("PolicyLimits", {})
     mix, prices = top.part("ResultMix"), top.part("Charges", {})
     below = info.choice("DependsOn", BELOW, "off")
     shared = REQUIRED if below is i.Below.SHARED else 0
     advice = info.choice("Say", ADVICE, "off")
+    classes = _classes(top, info)
+    listed, places = yield from tenants.all_in_steps(top.items("Tenants", []))
     return i.Settings(
-        classes=_classes(top, info), tenants=_tenants(top),
+        classes=classes, tenants=listed,
         goal=i.Goal(mix.number("Whole"), mix.number("WorstWindow", 0.0), mix.number("WorstClass", 0.0),
                     mix.number("WorstTenant", 0.0)),
         prices={k: v for k, v in prices.data.items() if isinstance(v, int | float)},
@@ -156,4 +271,4 @@
         preemption=info.choice("Preemption", PREEMPTION, "off"), readiness=info.flag("Readiness", False),
         deep_checks=info.flag("DeepChecks", False), idle=info.whole("Idle", 0),
         step=top.whole("Step", least=1),
-    )
+    ), places
