--- a/benchmarks/beat.py
+++ b/benchmarks/beat.py
@@ -147,6 +147,22 @@
     return out
 
 
+def side_by_side(few: int, many: int, scale: float) -> dict[str, Any]:
+    """This version alone at two sizes, nobody active, in short blocks by turns: the load of the machine
+    changes within a run, and is the same for both."""
+    modules = {size: Module(rules, size, 0) for size in (few, many)}
+    for _ in range(int(scale * 100)):
+        for module in modules.values():
+            for _ in range(40):
+                module.beat()
+    at = {size: sorted(module.beats) for size, module in modules.items()}
+    out = {
+        f"p{part}_us": {size: times[len(times) * part // 100] / 1000 for size, times in at.items()}
+        for part in (50, 99)
+    }
+    return {"beats": len(at[few])} | out | {"p99_ratio": round(out["p99_us"][many] / out["p99_us"][few], 2)}
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("revision")
@@ -156,6 +172,7 @@
         codes = {"before": rules_of(tree), "now": rules}
         for size in SIZES:
             print(json.dumps(row(codes, *size, args.scale)), flush=True)
+    print(json.dumps(side_by_side(3, 58_000, args.scale)))
     print(json.dumps({"load": os.getloadavg()}))
 
 
