--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -280,7 +280,7 @@
 def _json_source(data: dict[str, Any], text: Text, settings: Settings) -> Source | None:
     if text.size <= config_json.WHOLE or "Tenants" not in data["settings"]:
         return None
-    return Source(text.digest, joined(data, {TENANTS: []}), {TENANTS: Kept(settings.tenants)})
+    return Source(text.digest, joined(data, {TENANTS: []}), b"", {TENANTS: Kept(settings.tenants)})
 
 
 def _version(*digests: bytes) -> str:
--- a/ochrehoist/config_source.py
+++ b/ochrehoist/config_source.py
@@ -32,6 +32,7 @@
 
     digest: bytes
     rest: Mapping[str, Any]  # all but the arrays in `kept`
+    rest_digest: bytes  # of its text; of JSON there is none
     kept: Mapping[Path, Kept]
 
 
--- a/ochrehoist/config_toml.py
+++ b/ochrehoist/config_toml.py
@@ -45,17 +45,17 @@
     """A file read."""
 
     data: dict[str, Any]  # as a plain reading gives it, but a range stands for elements of before
-    rest: dict[str, Any] | None = None  # without those arrays; None: all was read as a whole
+    rest: Mapping[str, Any] | None = None  # without those arrays; None: all was read as a whole
+    rest_digest: bytes = b""
     stretches: Mapping[Path, Stretches] = field(default_factory=dict)
     lines: Mapping[Path, array] = field(default_factory=dict)  # of the elements
-    parsed: int = 0  # elements that were parsed
 
     def source(self, digest: bytes, elements: Mapping[Path, Sequence[Any]]) -> Source | None:
         """What the next reading may know. `elements`: the arrays as they were taken."""
         if self.rest is None:
             return None
-        return Source(digest, self.rest, {path: Kept(elements[path], stretches)
-                                          for path, stretches in self.stretches.items()})
+        return Source(digest, self.rest, self.rest_digest,
+                      {path: Kept(elements[path], stretches) for path, stretches in self.stretches.items()})
 
 
 def read_in_steps(text: Text, element_of: Mapping[Path, Callable[[Any], Any]],
@@ -67,7 +67,7 @@
     if text.size > WHOLE:
         if before is not None and before.digest == text.digest:
             all_of = {path: [range(len(kept.elements))] for path, kept in before.kept.items()}
-            return Reading(joined(before.rest, all_of), before.rest,
+            return Reading(joined(before.rest, all_of), before.rest, before.rest_digest,
                            {path: kept.stretches for path, kept in before.kept.items()})
         try:
             return (yield from _Parting(element_of, before).read(text))
@@ -89,7 +89,7 @@
     """One text, parted: elements go into stretches, all other lines into the rest."""
 
     def __init__(self, element_of: Mapping[Path, Callable[[Any], Any]], before: Source | None) -> None:
-        self.element_of = element_of
+        self.element_of, self.before = element_of, before
         self.known: dict[Path, Stretches] = {
             path: before.kept[path].stretches if before is not None and path in before.kept else {}
             for path in element_of}
@@ -102,7 +102,7 @@
         self.lines: dict[Path, array] = {}
         self.stretches: dict[Path, Stretches] = {}
         self.stretch: list[str] = []  # elements not yet read, all of `self.path`
-        self.length = self.first = self.parsed = 0
+        self.length = self.first = 0
         self.due = False  # for others to get a turn
 
     def read(self, text: Text) -> Generator[None, None, Reading]:
@@ -120,13 +120,16 @@
         yield from self._take(buffer, line, last=True)
         self._close("")
         yield
-        data = self._rest()
+        text_of_rest = "".join(piece for piece, _ in self.rest)
+        digest = blake2b(text_of_rest.encode(), digest_size=16).digest()
+        known = self.before is not None and self.before.rest_digest == digest
+        data = self.before.rest if known else self._rest()
         yield
         others = {path: elements for path, elements in self.arrays.items() if path not in self.element_of}
         arrays = {path: elements for path, elements in self.arrays.items() if path in self.element_of}
         rest = joined(data, others)
         stretches = {path: self.stretches[path] for path in arrays}
-        return Reading(joined(rest, arrays), rest, stretches, self.lines, self.parsed)
+        return Reading(joined(rest, arrays), rest, digest, stretches, self.lines)
 
     def _take(self, buffer: str, line: int, last: bool) -> Generator[None, None, int]:
         """How much of the buffer was taken: up to the last header, or line, that may yet go on."""
@@ -238,7 +241,6 @@
             raise _faulty(self._exact(error, text, follows), self.first - 2) from None
         for key in self.path:
             data = data[key]
-        self.parsed += len(data)
         self.due = True
         return data
 
