Test changes at size, and keep what workers tell of tenants within a datagram

Seen: with [peers] each answer carries the whole tally of this life and of four others, with three keys for each tenant that was ever answered: at 58,000 a message of 79,459 bytes, over the 16,384 of a datagram, and packed() raises (peers/counts.py add, to_tell): the worker looks dead to all. With [sites] the word carries the rate of each tenant that ever sent (sites/order.py tenant_rates), read ten times a second. Now a life's keys have 2,000 bytes, names of tenants beyond it are counted together, the 64 tenants nearest to their share are told, and the quiet are forgotten.

Seen too: an AJP filing of a tenant that had gone was told 400 for a repeat, though it ran, or ran still. The front lets such a repeat through to the core; anything else of that tenant is turned down as before.

A fault while a configuration is read is told of as one turned down, and an order that came meanwhile still counts.

--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -100,17 +100,20 @@
             raise Rejected(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "no room for the server's secret")
         tenant = _text(f, self.config.tenant_header) or self.config.default_tenant
         known = self.owner.tenants
-        if tenant is not None and known and tenant not in known:
-            raise Rejected(HTTPStatus.BAD_REQUEST, "unknown tenant")
-        token = _text(f, self.config.key_header).strip()
+        token = _text(f, self.config.key_header).strip() if cls.repeat is Repeat.KEYED else ""
         if len(token) > 1 and token[0] == token[-1] == '"':  # the header's own form is a quoted string
             token = token[1:-1]
-        if cls.repeat is not Repeat.KEYED:
-            token = ""
-        elif not token or len(token) > 255:
+        if tenant is not None and known and tenant not in known and not self._repeats(cls, tenant, token):
+            raise Rejected(HTTPStatus.BAD_REQUEST, "unknown tenant")
+        if cls.repeat is Repeat.KEYED and not 0 < len(token) <= 255:
             raise Rejected(HTTPStatus.BAD_REQUEST, "a filing needs a key")
         return tenant, token or None
 
+    def _repeats(self, cls: RequestClass, tenant: str, token: str) -> bool:
+        """Whether a filing that ran, or will, is asked for again: its tenant may have gone meanwhile."""
+        owner = self.owner
+        return bool(token) and owner.keys.original((tenant, cls.name, token), owner.clock()) is not None
+
     def request(self, f: ajp.Forward, checked: tuple, body: bytes, arrived: int,
                 responder: "AjpResponder") -> Inbound:
         cls, tenant, token = checked
--- a/ochrehoist/peers/counts.py
+++ b/ochrehoist/peers/counts.py
@@ -8,7 +8,12 @@
 from ochrehoist.peers.wire import Life, Tally
 
 LIVES = 16  # of one name whose counts are kept apart; older ones are added up
-MOST_KEYS = 512  # of one life
+MOST_KEYS = 512  # of one life, of others
+# Bytes of the keys of one life, each with its count: a message holds TOLD lives and its own, and must stay
+# under what a datagram may have, or nobody hears of this worker any more.
+MOST_BYTES, OF_COUNT = 2000, 9
+UNBOUNDED = "tenant/"  # the kind of name of which there may be any number
+OTHERS = "others"  # in the place of a name for which there is no room
 TOLD = 4  # lives of others in a message
 
 
@@ -44,11 +49,18 @@
     past: dict[str, Counter] = field(default_factory=dict)  # by name, of lives added up
     folded: dict[str, tuple[int, int]] = field(default_factory=dict)  # the last of them
     turn: int = 0
+    room: int = MOST_BYTES
 
     def add(self, key: str, n: int = 1) -> None:
-        if key in self.own or len(self.own) < MOST_KEYS:
-            self.own[key] += n
-            self.version += 1
+        """`key`: kind/name/word. Names that come when there is no room are counted together."""
+        if key not in self.own:
+            size = len(key.encode()) + OF_COUNT
+            if size > self.room and key.startswith(UNBOUNDED):
+                key = f"{key.partition('/')[0]}/{OTHERS}/{key.rpartition('/')[2]}"
+                size = 0 if key in self.own else len(key) + OF_COUNT
+            self.room -= size
+        self.own[key] += n
+        self.version += 1
 
     def learn(self, t: Tally, lag: float, now: float) -> None:
         if t.life.name == self.life.name and t.life == self.life:
--- a/ochrehoist/reload.py
+++ b/ochrehoist/reload.py
@@ -107,6 +107,8 @@
                 self._obey()
         finally:
             self.reading = False
+            if self.ordered:  # a fault ended this task
+                self._begin()
 
     def _obey(self) -> None:
         figures = self.owner.figures.single
@@ -118,6 +120,10 @@
             self.log.error("configuration can't be used, the old one stays", why=str(error),
                            version=self.version)
             return
+        except Exception:  # a fault of ours: the old one stays, and who looks is told so
+            figures["conf_invalid_total"] += 1
+            self._turned_down("internal fault, see the log")
+            raise
         if change is not None:
             figures["conf_loaded_total"] += 1
             self._tell_taken(change)
--- a/ochrehoist/sites/desk.py
+++ b/ochrehoist/sites/desk.py
@@ -416,7 +416,7 @@
             ],
             self.orders.to_tell(now),
             {c: round(v, 6) for c, v in self.order.costs.items()},
-            {t: round(v, 2) for t, v in self.order.tenant_rates(now).items()},
+            {t: round(v, 2) for t, v in self.order.told_rates(now).items()},
             (self.book.made, self.book.digest) if self.book is not None else (0, ""),
         )
 
--- a/ochrehoist/sites/order.py
+++ b/ochrehoist/sites/order.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from heapq import nlargest
 
 import xxhash
 
@@ -20,6 +21,8 @@
 STEADY = 0.3  # by which two classes' worth by work may differ in a logarithm and count as alike
 AGAIN_S = 4.0  # in which the same is taken for a further try, marked or not
 MOST_SEEN = 8192
+QUIET = 0.02  # requests a second under which a tenant's rate is forgotten
+MOST_TOLD = 64  # tenants whose rates are told to others: a word must fit in a datagram
 
 Group = tuple[str, bool]  # class, and whether it is beyond its tenant's share
 
@@ -150,4 +153,17 @@
         return start + width * part_of(*ident)
 
     def tenant_rates(self, now: float) -> dict[str, float]:
-        return {t: r.read(now) for t, r in self.rates.items()}
+        """Of those that sent lately."""
+        rates = {t: r.read(now) for t, r in self.rates.items()}
+        for tenant in [t for t, rate in rates.items() if rate < QUIET]:
+            del self.rates[tenant], rates[tenant]
+        return rates
+
+    def told_rates(self, now: float) -> dict[str, float]:
+        """Of those nearest to their share, or furthest beyond it: only there do all have to agree."""
+
+        def part(item: tuple[str, float]) -> float:
+            known = self.tenants.of(item[0])
+            return item[1] / max(1e-9, known.quota_per_s) if known is not None else 0.0
+
+        return dict(nlargest(MOST_TOLD, self.tenant_rates(now).items(), key=part))
--- /dev/null
+++ b/tests/test_changes.py
@@ -0,0 +1,358 @@
+"""Changes of configuration at size: what is prepared, what is switched, and what both cost the loop."""
+
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+from stand_ins import PATIENCE, ProgramCase, settings, toml_file
+
+from ochrehoist import interface as i
+from ochrehoist.config import load
+from ochrehoist.core.tenants import SPARE, changed, compact, first
+from ochrehoist.peers import wire
+from ochrehoist.peers.counts import Ledger
+from ochrehoist.peers.wire import Life, Message
+from ochrehoist.settings import at_once
+from ochrehoist.sites.order import MOST_TOLD, Order
+from ochrehoist.worker import Worker
+
+NAMES = st.lists(st.integers(0, 12), unique=True, max_size=12)
+
+
+def tenants(numbers, quota=1.0):
+    return tuple(i.Tenant(f"t{n}", quota, 0.1) for n in numbers)
+
+
+class Table(unittest.TestCase):
+    @given(st.lists(st.tuples(NAMES, st.sampled_from([1.0, 2.0])), max_size=8))
+    def test_over_any_history_who_stays_keeps_its_position_and_who_comes_back_finds_it(self, history):
+        table, positions = first(()), {}
+        for numbers, quota in history:
+            known = {t.name: t for t in table.listed}
+            listed = tuple(t if known.get(t.name) == t else t for t in tenants(numbers, quota))
+            before, table = table, at_once(changed(table, listed))
+            self.assertEqual(table.listed, listed)
+            self.assertEqual(set(table.at), {t.name for t in listed})
+            for t in listed:
+                self.assertIs(table.of(t.name), table.places[table[t.name]])
+                self.assertEqual(table.of(t.name), t)
+                self.assertEqual(positions.setdefault(t.name, table[t.name]), table[t.name])
+            for name, position in positions.items():
+                self.assertEqual(table.position(name), position)
+                self.assertEqual(table.places[position].name, name)
+            self.assertEqual(len(table.places), len(positions))
+            if listed == before.listed:
+                self.assertIs(table, before)
+
+    @given(NAMES, NAMES, NAMES)
+    def test_a_compact_table_has_those_in_force_first_and_of_the_gone_only_those_used(self, old, new, used):
+        table = at_once(changed(first(tenants(old)), tenants(new)))
+        names = {f"t{n}" for n in used}
+        got = at_once(compact(table, names))
+        self.assertEqual(got.places[:len(new)], tenants(new))
+        self.assertEqual(set(got.gone), {f"t{n}" for n in set(old) - set(new)} & names)
+        for name, position in (got.at | got.gone).items():
+            self.assertEqual(got.places[position].name, name)
+
+    def test_it_is_crowded_once_more_than_the_spare_places_and_a_tenth_are_of_the_gone(self):
+        for stay, gone, crowded in ((0, SPARE, False), (0, SPARE + 1, True), (20 * SPARE, 2 * SPARE, False),
+                                    (20 * SPARE, 3 * SPARE, True)):
+            table = at_once(changed(first(tenants(range(stay + gone))), tenants(range(stay))))
+            self.assertEqual(table.crowded, crowded, (stay, gone))
+
+
+def appliance(folder, numbers, routes, quota=1.0, **changes):
+    """A configuration with so many tenants and routes."""
+    site = settings(Tenants=[{"Name": f"t{n}", "QuotaPerS": quota, "Fraction": 0.1} for n in numbers],
+                    **changes)
+    rules = [{"uri": f"/r{n}/*", "class": "read"} for n in range(routes)]
+    path = Path(folder, "ajp.toml")
+    path.write_text(toml_file({
+        "name": "n1", "settings": site, "overload": {},
+        "ajp": {"listen": "127.0.0.1:0", "rules": rules, "servers": [{"address": "127.0.0.1:9"}]}}))
+    return str(path)
+
+
+class Growth(unittest.TestCase):
+    """Lines run in the longest step and in the switch, which must not grow with tenants or routes."""
+
+    def change(self, count, routes, change):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = appliance(folder.name, range(count), routes)
+        worker = Worker(load(path), path)
+        self.addCleanup(self.close, worker)
+        worker.owner.step()
+        change(folder.name, count, routes)
+        steps, longest, lines = worker.reloading._steps(False), 0, 0
+
+        def count_lines(frame, event, argument):
+            nonlocal lines
+            lines += event == "line"
+            return count_lines
+
+        def counted(call):
+            nonlocal lines
+            lines, before = 0, sys.gettrace()
+            sys.settrace(count_lines)
+            try:
+                return call()
+            finally:
+                sys.settrace(before)
+        while True:
+            try:
+                counted(lambda: next(steps))
+            except StopIteration as end:
+                ready = end.value
+                break
+            longest = max(longest, lines)
+        counted(lambda: worker.reloading._commit(ready))
+        return worker, longest, lines
+
+    def close(self, worker):
+        for front in worker.fronts:
+            front.listening.sock.close()
+        worker.measures.close()
+
+    def flat(self, change, for_each=0):
+        """Gives the worker of the largest size. `for_each`: lines that the switch may run for each tenant."""
+        steps, switches = {}, {}
+        for count, routes in ((3, 3), (2000, 130), (20_000, 1300)):
+            worker, steps[count], switches[count] = self.change(count, routes, change)
+        # The longest steps parse a stretch of elements, of the same length at most; what the switch takes
+        # more at times is what falls due in the core. A look at each tenant would be more than either.
+        self.assertLess(max(steps.values()), 12_000, steps)
+        for count, lines in switches.items():
+            self.assertLess(lines, 5000 + for_each * count, switches)
+        return worker
+
+    def test_one_tenant_changed_costs_the_loop_as_much_whatever_the_number_of_others(self):
+        worker = self.flat(lambda folder, count, routes: appliance(
+            folder, [n for n in range(count + 1) if n != 1], routes))
+        table = worker.owner.tenants
+        self.assertEqual((table.position("t20000"), table.gone), (20_000, {"t1": 1}))
+        self.assertEqual(len(worker.owner.controller.s.tenants), 20_001)
+
+    def test_one_route_changed_does_as_well_and_the_module_hears_nothing_of_it(self):
+        worker = self.flat(lambda folder, count, routes: appliance(folder, range(count), routes + 1))
+        self.assertEqual(len(worker.fronts[0].config.rules), 1301)
+        self.assertIs(worker.owner.controller.s.tenants, worker.owner.tenants.places)
+
+    def test_each_tenant_changed_and_a_class_too_is_a_fresh_module_that_looks_at_each_once(self):
+        def change(folder, count, routes):
+            base = settings()["Classes"]
+            appliance(folder, range(count), routes, 2.0, Classes=[*base, base[0] | {"Name": "more"}])
+
+        worker = self.flat(change, for_each=1)  # its quota, as it was at first
+        self.assertEqual(worker.owner.controller.s.tenants[7].quota_per_s, 2.0)
+        self.assertIn("more", worker.owner.kinds)
+
+
+class Fleet(unittest.TestCase):
+    def test_a_message_of_counts_fits_a_datagram_however_many_tenants_were_answered(self):
+        ledgers = [Ledger(Life(f"n{n}", 1, n), 100.0) for n in range(6)]
+        for ledger in ledgers:
+            for n in range(58_000):
+                ledger.add(f"tenant/tenant-{n:06d}/answered")
+            for cls in ("read", "filing"):
+                ledger.add(f"class/{cls}/answered", 7)
+        me = ledgers[0]
+        for other in ledgers[1:]:
+            for tally in other.to_tell(1.0)[:1]:
+                me.learn(tally, 0.0, 1.0)
+        told = me.to_tell(2.0)
+        self.assertEqual(len(told), 5)
+        size = len(wire.packed(Message("g", me.life, "n1", 1, 1, told), b"s" * 16))
+        self.assertLess(size, wire.MOST - 2000)  # and what else is in an answer
+        self.assertEqual(sum(me.own.values()), 58_014)
+        self.assertEqual(me.read("class/read/answered", 2.0).total, 42)
+
+    def test_of_tenants_rates_the_nearest_to_their_share_are_told_and_the_quiet_forgotten(self):
+        many = tuple(i.Tenant(f"t{n}", 1.0 if n == 900 else 1000.0, 0.1) for n in range(1000))
+        order = Order((i.RequestClass(name="read", aim=1, deadline=2),), first(many), 0.1)
+        for n in range(1000):
+            order.came(("", "read", n), "read", f"t{n}", False, 1.0)
+        told = order.told_rates(1.0)
+        self.assertEqual((len(told), "t900" in told), (MOST_TOLD, True))
+        self.assertEqual(order.told_rates(100.0), {})
+        self.assertEqual(order.rates, {})
+
+
+class Appliance(ProgramCase):
+    def begin(self, **more):
+        self.site = settings()
+        return self.start(thrift=False, ajp=True, site=self.site, **more)
+
+    def change(self, program, names, rules=None, **changes):
+        listed = [{"Name": n, "QuotaPerS": q, "Fraction": 0.5} for n, q in names.items()]
+        site = self.site | {"Tenants": listed}
+        front = program.appliance["ajp"] | ({"rules": rules} if rules else {})
+        return toml_file(program.appliance | {"settings": site | changes, "ajp": front})
+
+    def ask(self, web, tenant, body=b"doc", key="k"):
+        web.request("POST", "/filings", {"X-Tenant": tenant, "Idempotency-Key": key}, body)
+
+    def configuration(self, program):
+        return json.loads(program.operator()[1])["configuration"]
+
+    def test_a_tenant_that_goes_with_a_filing_open_is_answered_and_its_repeats_meet_the_first(self):
+        program = self.begin()
+        first_try, again, later = program.ajp(), program.ajp(), program.ajp()
+        self.ask(first_try, "acme")
+        _, _, respond = program.server.next()
+        said = program.reload("ajp.toml", self.change(program, {"other": 5.0}))
+        self.assertEqual(said["version"], self.configuration(program)["version"])
+        self.ask(again, "acme")  # while it runs
+        self.assertEqual(later.call("GET", "/reads/1", {"X-Tenant": "acme"})[0], 400)
+        self.ask(later, "acme", key="new")
+        self.assertEqual(later.answer()[0], 400)
+        self.ask(later, "acme", b"other")  # the same key, and another filing
+        self.assertEqual(later.answer()[0], 422)
+        respond(data=b"filed")
+        self.assertEqual([web.answer()[2] for web in (first_try, again)], [b"filed", b"filed"])
+        self.ask(again, "acme")  # and once it has
+        self.assertEqual(again.answer()[2], b"filed")
+        # Back again under its name, with no quota: it is known, and its filing too.
+        program.reload("ajp.toml", self.change(program, {"other": 5.0, "acme": 0.0}))
+        self.ask(later, "acme")
+        self.assertEqual(later.answer()[2], b"filed")
+        self.ask(later, "acme", key="new")
+        program.server.next()[2](data=b"new")
+        self.assertEqual(later.answer()[2], b"new")
+        self.assertTrue(program.server.got.empty())
+        self.assertEqual(program.said("settings changed"), [])  # nothing open was told anew
+
+    def test_a_route_that_shadows_another_and_a_class_and_a_tenant_in_one_change(self):
+        program = self.begin()
+        old, new = program.ajp(), program.ajp()
+        old.request(uri="/reads/1", headers={"X-Tenant": "acme"})
+        respond = program.server.next()[2]
+        classes = [*self.site["Classes"], self.site["Classes"][0] | {"Name": "more"}]
+        rules = [{"uri": "/reads/*", "class": "more"}, *program.appliance["ajp"]["rules"]]
+        program.reload("ajp.toml", self.change(program, {"zeta": 1.0, "acme": 1.0}, rules, Classes=classes))
+        new.request(uri="/reads/1", headers={"X-Tenant": "zeta"})
+        program.server.next()[2](data=b"by the new")
+        self.assertEqual(new.answer()[2], b"by the new")
+        respond(data=b"by the old")
+        self.assertEqual(old.answer()[2], b"by the old")
+        program.wait_for(lambda status: status["in_hand"] == "0")
+        self.assertEqual([program.figure("answered_total", c) for c in ("read", "more")], [1, 1])
+
+    def test_ten_orders_at_once_leave_the_newest_in_force_and_as_many_readings_at_most(self):
+        program = self.begin()
+        for n in range(10):
+            new = program.file("new", self.change(program, {f"v{n}": 1.0}))
+            os.replace(new, Path(program.folder.name, "ajp.toml"))
+            program.process.send_signal(signal.SIGHUP)
+        web, until = program.ajp(), time.monotonic() + PATIENCE
+        while web.call("GET", "/none", {"X-Tenant": "v9"})[0] != 404 \
+                or self.configuration(program)["reading"] or not self.known(program, "v9"):
+            self.assertLess(time.monotonic(), until)
+        self.assertFalse(self.known(program, "v8"))
+        self.assertIn(program.figure("conf_loaded_total"), range(1, 11))
+        self.assertEqual(program.figure("conf_invalid_total"), 0)
+
+    def known(self, program, tenant):
+        """Its filing gets past the reader, to be told that it has no key."""
+        web = program.ajp()
+        web.request("POST", "/filings", {"X-Tenant": tenant}, b"doc")
+        body = web.answer()[2]
+        web.close()
+        return b"needs a key" in body
+
+    def test_many_changes_leave_the_memory_as_it_was(self):
+        program = self.begin()
+        sizes = []
+        for n in range(60):
+            names = {f"tenant {k}": 1.0 for k in range(1000) if k != n} | {f"only {n}": 1.0}
+            program.reload("ajp.toml", self.change(program, names))
+            pages = Path(f"/proc/{program.process.pid}/statm").read_text().split()[1]
+            sizes.append(int(pages) * os.sysconf("SC_PAGE_SIZE"))
+        self.assertLess(sizes[-1] - max(sizes[5:20]), 1 << 20, sizes)
+
+
+class Platform(ProgramCase):
+    def content(self, program, **changes):
+        return json.dumps(program.config | {"settings": settings(**changes)})
+
+    def replace(self, program, content):
+        os.replace(program.file("new", content), Path(program.folder.name, "config.json"))
+        program.process.send_signal(signal.SIGHUP)
+
+    def test_a_change_before_the_kernel_is_up_is_in_force_once_it_is(self):
+        program = self.start(boot=False)
+        said = program.reload("config.json", self.content(program, Tenants=[
+            {"Name": "later", "QuotaPerS": 1.0, "Fraction": 1.0}]))
+        program.kernel.boots = True
+        program.kernel.drop_links()
+        program.kernel.opened.get(timeout=PATIENCE)
+        program.wait_for(lambda status: status["state"] == "up")
+        program.served(program.thrift(), acct="later")
+        status = json.loads(program.operator()[1])["configuration"]
+        self.assertEqual((status["version"], status["last"]), (said["version"], "taken"))
+
+    def test_tenants_that_go_stay_known_to_the_thrift_front_and_no_module_is_made_for_it(self):
+        program = self.start()
+        router = program.thrift()
+        filing = router.invoke("filing", b"doc", token="t")
+        rid = program.kernel.next()[0]
+        program.reload("config.json", self.content(program, Tenants=[
+            {"Name": "other", "QuotaPerS": 1.0, "Fraction": 1.0}]))
+        again = router.invoke("filing", b"doc", token="t", again="1")
+        program.served(router, acct="other")
+        program.kernel.reap(rid, body=b"filed")
+        self.assertEqual([router.answer(n)[2] for n in (filing, again)], [b"filed", b"filed"])
+        self.assertEqual(program.said("settings changed"), [])
+
+    def test_an_order_is_for_the_process_that_decides(self):
+        old = self.start()
+        old.thrift().invoke("filing", b"doc", token="t")  # which keeps it from ending meanwhile
+        old.kernel.next()
+        version = json.loads(old.operator()[1])["configuration"]["version"]
+        new = self.start(before=old)
+        new.took_over()
+        self.replace(old, self.content(old, Tenants=[{"Name": "new", "QuotaPerS": 1.0, "Fraction": 1.0}]))
+        new.process.send_signal(signal.SIGHUP)
+        new.wait_for(lambda status: "'last': 'taken'" in status["configuration"])
+        configuration = json.loads(old.operator()[1])["configuration"]
+        self.assertEqual((configuration["version"], configuration["last"]), (version, "start"))
+
+
+class Standing(unittest.TestCase):
+    """While the core's state is on its way to another process, which may still say no."""
+
+    def test_a_change_waits_until_that_is_over_and_is_then_in_force(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = appliance(folder.name, range(3), 1)
+        worker = Worker(load(path), path)
+        self.addCleanup(Growth.close, self, worker)
+        worker.owner.step()
+        worker.owner.freeze()
+        appliance(folder.name, range(4), 1)
+        worker.reloading.order()
+        worker.loop.call_later(0.05, lambda: self.assertNotIn("t3", worker.owner.tenants))
+        worker.loop.call_later(0.05, worker.owner.thaw)
+        seen = []
+
+        def look():
+            if "t3" in worker.owner.tenants:
+                seen.append(worker.reloading.last)
+                return worker.loop.stop()
+            worker.loop.call_later(0.01, look)
+
+        worker.loop.call_later(0.06, look)
+        worker.loop.call_later(PATIENCE, worker.loop.stop)
+        worker.loop.run()
+        self.assertEqual(seen, ["taken"])
+
+
+if __name__ == "__main__":
+    unittest.main()
