Begin no capture file for tenants or routes alone; tell the version in force

Now only other changes begin one, and the head's tenants are encoded in the writing thread, 500 at a time with a breath for the loop.

--- a/ochrehoist/capture/records.py
+++ b/ochrehoist/capture/records.py
@@ -6,7 +6,7 @@
 whole blocks, and one of an older or a newer program gives what both know. MAJOR changes when that can't hold.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import Any
@@ -79,6 +79,18 @@
     """No capture, or one that this program can't read; the text says which."""
 
 
+def told(tenants: Sequence[tuple[str, float]]) -> bytes:
+    """Some of a head's tenants as they are written; the pieces are put together by `head_block`."""
+    return b"".join(_encoder.encode(t) for t in tenants)
+
+
+def head_block(head: Head, count: int, pieces: Iterable[bytes]) -> bytes:
+    """The block of a head with so many tenants, which were encoded piece by piece: a thread beside the loop's
+    must not have the interpreter for as long as all of them take at once."""
+    whole = b"\xdd" + count.to_bytes(4, "big") + b"".join(pieces)  # MessagePack's array 32
+    return block([msgspec.structs.replace(head, tenants=msgspec.Raw(whole))])
+
+
 def start() -> bytes:
     return MAGIC + bytes((MAJOR,))
 
--- a/ochrehoist/capture/taker.py
+++ b/ochrehoist/capture/taker.py
@@ -5,34 +5,52 @@
 import secrets
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import xxhash
 
 from ochrehoist.capture.pace import Batches, Sample, file_ends, surplus
-from ochrehoist.capture.records import NEVER, SUFFIX, Head, Lost, Outcome, Record, Seen, block, start
-from ochrehoist.config import CaptureConfig
+from ochrehoist.capture.records import (
+    NEVER,
+    SUFFIX,
+    Head,
+    Lost,
+    Outcome,
+    Record,
+    Seen,
+    block,
+    head_block,
+    start,
+    told,
+)
+from ochrehoist.config import Config
 from ochrehoist.core.answers import ANSWERED, REFUSED
 from ochrehoist.core.owner import Owner
 from ochrehoist.core.requests import Inbound
-from ochrehoist.interface import Settings
+from ochrehoist.interface import Settings, Tenant
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.offloop import OffLoop
 from ochrehoist.settings import BadInput
 
 FLUSH = 1.0  # s after which what waits is written, full or not
 END = 1.0  # s at the most for the last writes
+PIECE, BREATH = 500, 0.0005  # tenants of a head encoded in one go; s for the loop's thread between two
 
 
 class Opened:
     """One file; used by the writing thread alone."""
 
-    def __init__(self, folder: Path, name: str, head: Head) -> None:
+    def __init__(self, folder: Path, name: str, head: Head, tenants: tuple[Tenant, ...]) -> None:
         self.path = folder / f"{time.time_ns() // 1_000_000:014d}-{name}-{os.getpid()}{SUFFIX}"
         self.fd = os.open(self.path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
         self.opened, self.size = time.monotonic(), 0
-        self.write(start() + block([head]))
+        pieces = []
+        for n in range(0, len(tenants), PIECE):
+            pieces.append(told([(t.name, t.quota_per_s) for t in tenants[n:n + PIECE]]))
+            time.sleep(BREATH)
+        self.write(start() + head_block(head, len(tenants), pieces))
 
     def write(self, data: bytes) -> None:
         written = os.write(self.fd, data)
@@ -47,9 +65,11 @@
 class Capture:
     """An Observer of the core. A disk that fails or is slow costs records, which are counted, and no more."""
 
-    def __init__(self, loop: Loop, owner: Owner, config: CaptureConfig, name: str, log: Any) -> None:
-        self.loop, self.owner, self.config, self.name, self.log = loop, owner, config, name, log
+    def __init__(self, loop: Loop, owner: Owner, whole: Config, log: Any) -> None:
+        config, self.name = whole.capture, whole.name
+        self.loop, self.owner, self.config, self.log = loop, owner, config, log
         self.folder = Path(config.folder)
+        self.many = whole.settings.tenants, whole.ajp.rules if whole.ajp else ()
         try:
             self.folder.mkdir(mode=0o700, exist_ok=True)
         except OSError as error:
@@ -95,17 +115,21 @@
             self._flush()
 
     # ---- to the disk
-    def configure(self, settings: Settings) -> None:
-        """Other classes: a file tells those that it was begun with."""
-        self._new_file(settings)
+    def configure(self, new: Config) -> None:
+        """Begins a new file, which tells the new classes; but not where only tenants or routes have changed:
+        there may be thousands, and as many changes in a day. The next file tells them."""
+        many = new.settings.tenants, new.ajp.rules if new.ajp else ()
+        if many == self.many or replace(new.settings, tenants=()) != self.told_of:
+            self._new_file(new.settings)
+        self.many = many
 
     def _new_file(self, s: Settings) -> None:
         self._flush()  # what waits is of the old salt
+        self.told_of = replace(s, tenants=())
         self.salt, self.started = secrets.randbits(64), self.owner.clock()
         head = Head(self.name, self.started, self.config.sample, s.cores, s.memory_kb,
-                    tuple((c.name, c.aim, c.deadline, c.worth, c.late_worth) for c in s.classes),
-                    tuple((t.name, t.quota_per_s) for t in s.tenants))
-        self._submit(lambda: self._open(head))
+                    tuple((c.name, c.aim, c.deadline, c.worth, c.late_worth) for c in s.classes), ())
+        self._submit(lambda: self._open(head, s.tenants))
 
     def _flush_again(self) -> None:
         if self.trouble:
@@ -139,11 +163,11 @@
                 self._new_file(self.owner.settings)
         self.thread.submit(call, done)
 
-    def _open(self, head: Head) -> bool:
+    def _open(self, head: Head, tenants: tuple[Tenant, ...]) -> bool:
         if self.file is not None:
             self.file.close()
             self.file = None
-        self.file = Opened(self.folder, self.name, head)
+        self.file = Opened(self.folder, self.name, head, tenants)
         files = [(p.name, p.stat().st_size) for p in self.folder.glob(f"*{SUFFIX}")]
         for name in surplus(files, int(self.config.max_mb * 1e6)):
             (self.folder / name).unlink()
--- a/ochrehoist/reload.py
+++ b/ochrehoist/reload.py
@@ -11,6 +11,7 @@
 
 from ochrehoist import config as configuration
 from ochrehoist.config import Config
+from ochrehoist.core.figures import counted
 from ochrehoist.core.linkwatch import LinkWatch
 from ochrehoist.core.owner import Owner
 from ochrehoist.core.requests import Linked, Retuned, TenantsRetuned
@@ -93,6 +94,15 @@
                          "took_s": round(self.read_s, 3), "switch_ms": round(1000 * self.switch_s, 3),
                          "held_ms": round(1000 * self.held, 3)}
 
+    def figures(self) -> str:
+        """Lines beside the fixed names: which version is in force, since when, and what reading has cost."""
+        return counted({
+            "app_conf_info": [(f'{{version="{self.version}"}}', 1)],
+            "app_conf_in_force_since_seconds": [("", round(self.since, 3))],
+            "app_conf_took_seconds": [("", round(self.read_s, 6))],
+            "app_conf_held_seconds": [("", round(self.held, 6))],
+            "app_conf_held_longest_seconds": [("", round(self.longest, 6))]})
+
     # ---- reading
     def _begin(self) -> None:
         if not self.reading:
--- a/ochrehoist/worker.py
+++ b/ochrehoist/worker.py
@@ -127,9 +127,9 @@
         if config.capture:
             from ochrehoist.capture.taker import Capture
 
-            self.capture = Capture(loop, owner, config.capture, config.name, self.log)
+            self.capture = Capture(loop, owner, config, self.log)
             owner.answers.observers.append(self.capture)
-            parts.append(switch_only(lambda new, _: self.capture.configure(new.settings)))
+            parts.append(switch_only(lambda new, _: self.capture.configure(new)))
         self.measures: Any = None
         if config.overload:
             from ochrehoist.net.selfmeasure import SelfMeasure
@@ -231,7 +231,8 @@
 
     def metrics(self) -> Answer:
         text = self.owner.figures.text(self.owner.current)
-        text += "".join(part.figures() for part in (self.journal, self.measures, self.peers, self.sites,
+        conf = self.config.ajp and self.reloading  # the platform's worker keeps to the fixed names
+        text += "".join(part.figures() for part in (conf, self.journal, self.measures, self.peers, self.sites,
                                                        self.recovery) if part)
         return Answer(HTTPStatus.OK, text.encode(), CONTENT_TYPE)
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -9,11 +9,13 @@
 import unittest
 from pathlib import Path
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 from stand_ins import PATIENCE, ProgramCase, settings, toml_file
 
 from ochrehoist import interface as i
+from ochrehoist.capture.records import Damage, Head, head_block, records, start, told
 from ochrehoist.config import load
 from ochrehoist.core.tenants import SPARE, changed, compact, first
 from ochrehoist.peers import wire
@@ -185,6 +187,16 @@
         self.assertEqual(order.rates, {})
 
 
+class Captured(unittest.TestCase):
+    def test_a_head_of_thousands_of_tenants_in_pieces_reads_as_one_that_is_written_whole(self):
+        for count in (0, 3, 70_000):
+            of = tuple((f"t{n}", float(n)) for n in range(count))
+            head = Head("n1", 5, 1.0, 4, 1000.0, (("read", 1, 2, 1.0, 0.0),), of)
+            pieces = [told(of[n:n + 500]) for n in range(0, count, 500)]
+            data = start() + head_block(msgspec.structs.replace(head, tenants=()), count, pieces)
+            self.assertEqual(list(records(data, Damage())), [head])
+
+
 class Appliance(ProgramCase):
     def begin(self, **more):
         self.site = settings()
@@ -209,6 +221,8 @@
         _, _, respond = program.server.next()
         said = program.reload("ajp.toml", self.change(program, {"other": 5.0}))
         self.assertEqual(said["version"], self.configuration(program)["version"])
+        figures = program.operator(path="/status/metrics")[1]
+        self.assertIn(f'app_conf_info{{version="{said["version"]}"}} 1', figures)
         self.ask(again, "acme")  # while it runs
         self.assertEqual(later.call("GET", "/reads/1", {"X-Tenant": "acme"})[0], 400)
         self.ask(later, "acme", key="new")
@@ -267,6 +281,26 @@
         web.close()
         return b"needs a key" in body
 
+    def test_changes_of_tenants_and_of_routes_begin_no_new_file_of_the_capture_and_others_do(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        program = self.begin(capture={"folder": folder.name})
+
+        def files():
+            return len(list(Path(folder.name).iterdir()))
+
+        rules = [{"uri": "/more/*", "class": "read"}]
+        for content in (self.change(program, {"other": 1.0}), self.change(program, {"other": 1.0}, rules)):
+            program.reload("ajp.toml", content)
+        base = self.site["Classes"]
+        more = [*base, base[0] | {"Name": "more"}]
+        program.reload("ajp.toml", self.change(program, {"other": 1.0}, rules, Classes=more))
+        until = time.monotonic() + PATIENCE
+        while files() < 2:  # another thread writes them, in the order in which they were begun
+            self.assertLess(time.monotonic(), until)
+        program.process.send_signal(signal.SIGTERM)
+        self.assertEqual((program.ended(), files()), (0, 2))
+
     def test_many_changes_leave_the_memory_as_it_was(self):
         program = self.begin()
         sizes = []
