Let hollow workers take a change in steps, or whole where a tree is older

The joined tree hands parts to Reloading that prepare a change; hollow workers gave it the older ones. Held up is now the longest of a reading's steps.

--- a/ochrehoist/lab/hollow.py
+++ b/ochrehoist/lab/hollow.py
@@ -39,6 +39,11 @@
 from ochrehoist.reload import Reloading
 from ochrehoist.worker import BODY_SHARE, RESULT_SHARE
 
+try:
+    from ochrehoist.reload import switch_only
+except ImportError:  # a tree of before the reading in steps: its parts take a configuration whole
+    switch_only = None
+
 PAGE_KB = os.sysconf("SC_PAGE_SIZE") // 1024
 BEATS = 256  # of the module, whose cost is kept
 RUN_S = 0.05  # of a run that is only told of
@@ -208,11 +213,17 @@
             self.rng.random())
         self.owner.listeners.append(self.peers)
         self.servers.advisor = self.peers
-        self.reloading = Reloading(loop, self.owner, config, str(path), [
-            lambda new: self.servers.configure(new.ajp),
-            lambda new: self.reader.configure(new.ajp, new.settings), self.peers.configure], None, log)
+        self.reloading = Reloading(loop, self.owner, config, str(path), self._parts(), None, log)
         self.ended = False
 
+    def _parts(self) -> list[Callable[..., Any]]:
+        servers, reader, peers = self.servers, self.reader, self.peers
+        if switch_only is None:
+            return [lambda new: servers.configure(new.ajp),
+                    lambda new: reader.configure(new.ajp, new.settings), peers.configure]
+        return [switch_only(lambda new, _: servers.configure(new.ajp)),
+                lambda new, _: reader.prepare(new.ajp, new.settings), peers.prepare]
+
     def start(self) -> None:
         self.task = self.loop.spawn(self.owner.run)
         self.peers.start()
@@ -454,17 +465,18 @@
             hollow, path = self.hollows[w["name"]], self._file(w)
             at, cpu = time.monotonic(), time.thread_time()
             hollow.reloading.order()
-            taken["held_s"].append(time.monotonic() - at)
-            taken["cpu_s"].append(time.thread_time() - cpu)
-            look(hollow, at, path)
+            held = time.monotonic() - at
+            look(hollow, at, cpu, held, path)
 
-        def look(hollow: Hollow, at: float, path: Path) -> None:
+        def look(hollow: Hollow, at: float, cpu: float, held: float, path: Path) -> None:
             in_force = hollow.owner.settings.tenants[0].quota_per_s == quota
             if not in_force and not hollow.ended and time.monotonic() <= until:
-                self.loop.call_later(TAKEN_LOOK_S, lambda: look(hollow, at, path))
+                self.loop.call_later(TAKEN_LOOK_S, lambda: look(hollow, at, cpu, held, path))
                 return
             if in_force:
                 taken["in_force_s"].append(time.monotonic() - at)
+                taken["held_s"].append(max(held, getattr(hollow.reloading, "held", 0.0)))
+                taken["cpu_s"].append(time.thread_time() - cpu)  # with that of others meanwhile
             path.unlink(missing_ok=True)
             self.loop.call_later(0.0, order)
 
