--- a/benchmarks/slopes/module.py
+++ b/benchmarks/slopes/module.py
@@ -94,15 +94,25 @@
     return driver.measured() | {"settings_bytes": of_settings, "module_bytes": of_module}
 
 
+def by_lacking(size: int, seed: int) -> Measures:
+    """The same, where none of them got an answer in time."""
+    return _of_58000(size, seed, answered=False)
+
+
 def by_active(size: int, seed: int) -> Measures:
     """Of 58,000 tenants so many were heard in the last moments, once each. At 171 requests a second, evenly
     spread, some 7,400 are counted as active: a count falls from 1 to 0.1 within 46 s."""
+    return _of_58000(size, seed, answered=True)
+
+
+def _of_58000(size: int, seed: int, answered: bool) -> Measures:
     driver = Driver(settings(58000), seed)
 
     def heard() -> None:
         for tenant in driver.rng.sample(range(58000), size):
             name = driver.request(tenant=tenant)
-            driver.tell(driver.i.Completed(name, driver.i.Outcome.OK, 4 * MS))
+            outcome = driver.i.Outcome.OK if answered else driver.i.Outcome.FAILED
+            driver.tell(driver.i.Completed(name, outcome, 4 * MS))
 
     _, of_active = grown(heard)
     return {"bytes": of_active, "beat_us": cpu_us(driver.beat)}
@@ -197,6 +207,8 @@
           (BEAT, HELD_UP, TURN)),
     Probe("module by active tenants", "tenants heard lately, of 58,000", (100, 1000, 3000, 8000, 20000),
           by_active, 7400, (BEAT, HELD_UP)),
+    Probe("module by tenants that lack answers", "tenants that lack answers, of 58,000",
+          (100, 1000, 3000, 8000, 20000), by_lacking, 7400, (BEAT, HELD_UP)),
     Probe("module by classes", "classes", (2, 34, 340, 1000), by_classes, 340, (BEAT, TURN)),
     Probe("module by callers", "callers", (100, 1000, 5000, 19000), by_callers, 19000,
           (BEAT, TURN, Bound("forgetting_beat_us", 5400, "5.4 ms on a request's way"))),
