--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -6,6 +6,7 @@
 from stand_ins import ROOT  # noqa: F401 - the tree is on the path from here on
 
 from benchmarks.slopes import points
+from benchmarks.slopes.__main__ import measured
 from benchmarks.slopes.fit import crossing, line
 
 
@@ -71,3 +72,34 @@
 
         with self.assertRaisesRegex(RuntimeError, "17 of 20 were held"):
             points.apart(fails)
+
+
+class Probes(unittest.TestCase):
+    """What is made of the points of one probe."""
+
+    def _measured(self, measure, sizes=(10, 20, 30, 40, 50)):
+        bounds = points.Bound("us", 70.0, "a bound"), points.Bound("us", 1000.0, "another")
+        return measured(points.Probe("probe", "n", sizes, measure, 100, bounds), seeds=2)
+
+    def test_every_size_is_measured_with_every_seed(self):
+        row = self._measured(lambda size, seed: {"us": 2.0 * size + seed})
+        self.assertEqual(len(row["points"]), 10)
+        self.assertAlmostEqual(row["lines"]["us"]["slope"], 2)
+        self.assertAlmostEqual(row["lines"]["us"]["at_goal"], 201.5)
+        self.assertEqual([b["run"] for b in row["bounds"]], [True, False])
+        self.assertAlmostEqual(row["bounds"][0]["breaks_at"], 34.25)
+
+    def test_a_size_that_can_not_be_run_is_told_and_left_out(self):
+        def measure(size, seed):
+            if size == 50:
+                raise ValueError("not ready")
+            return {"us": float(size)}
+
+        row = self._measured(measure)
+        self.assertEqual(len(row["points"]), 8)
+        self.assertEqual(set(row["not_run"]), {"50 with seed 1", "50 with seed 2"})
+        self.assertIn("not ready", row["not_run"]["50 with seed 1"])
+
+    def test_no_slope_is_told_of_what_is_left_of_three_sizes(self):
+        with self.assertRaisesRegex(ValueError, "4 sizes"):
+            self._measured(lambda size, seed: {"us": 1.0 / (size < 40)})
