A suspicion ends once the accused has answered it: SWIM's refutation numbers

Cause, in peers/members.py: `rumour` took SUSPECT and DEAD from hearsay unless the member had answered oneself within 0.6 s, and each is asked only every N periods; `rumour` did nothing with ALIVE of a life that is known, so what the accused said (`_spread` of its own name) changed nothing, and each new accuser spread it anew.

Ruled out: comparing `Entry.version`. It goes up with each beat of the member, so one newer than the accuser knew may be older than the accusation; it would take true deaths back too as later beats become known.

Change: `Entry.refutations`, the last field (a member of before passes it over, and its own entries have 0; both tested). Only the accused raises it, above the accusation's number; a higher number ends suspicion and death said at a lower one, an accusation at a lower one is passed over; LEFT stays; a new life begins at 0. Who is asked while accused is told so in the question. Rights do not rest on it: voters' words and the holder's clock do.

--- a/ochrehoist/peers/group.py
+++ b/ochrehoist/peers/group.py
@@ -190,7 +190,7 @@
                 for helper in m.some(HELPERS, (name,)):
                     out += self._to(helper, [Ask(nonce, name)])
             else:
-                out += self._to(name, [self._ping(nonce, now)])
+                out += self._to(name, [self._ping(name, nonce, now)])
         if not m.members:
             for address in self.terms.start:
                 if address != self.terms.address and self._may_greet(address, now):
@@ -247,13 +247,14 @@
             self.version,
             0,
             self.status,
+            self.members.refutations,
         )
 
-    def _ping(self, nonce: int, now: float) -> Ping:
+    def _ping(self, to: str, nonce: int, now: float) -> Ping:
         members = self.members.members
         names = list(members) if len(members) <= KNOW else self.rng.sample(list(members), KNOW)
         know = [(n, members[n].life.inc, members[n].version) for n in names]
-        return Ping(nonce, know, self.members.to_tell(now, self._me()))
+        return Ping(nonce, know, self.members.to_tell(now, self._me(), to))
 
     def _to(self, name: str, items: list[Item]) -> list[Send]:
         address = self.members.address_of(name)
@@ -374,7 +375,7 @@
     def _asked(self, item: Ask, sender: Life, now: float) -> list[Send]:
         nonce = self.rng.getrandbits(62) | 1
         self.helping[nonce] = sender.name, item.nonce, item.name
-        return self._to(item.name, [self._ping(nonce, now)])
+        return self._to(item.name, [self._ping(item.name, nonce, now)])
 
     def _claimed(self, item: Claim, sender: Life, now: float) -> list[Send]:
         share = self.shares.get(item.budget)
--- a/ochrehoist/peers/members.py
+++ b/ochrehoist/peers/members.py
@@ -31,13 +31,22 @@
     heard_at: float | None = None  # an answer to a ping of ours came, by whatever way
     suspect_at: float = 0.0
     accusers: set[str] = field(default_factory=set)
+    refutations: int = 0  # the highest known: what is said of it at a lower one is over
     version: int = 0
     told_at: float | None = None  # its status was so at this moment or later
     status: bytes = b""
 
     def entry(self, now: float) -> Entry:
         age = -1 if self.told_at is None else max(0, math.ceil((now - self.told_at) * 1000))
-        return Entry(self.life, self.address, self.site, self.state, self.version, age, self.status)
+        return self._entry(age, self.status)
+
+    def rumour(self) -> Entry:
+        return self._entry(-1, b"")
+
+    def _entry(self, age: int, status: bytes) -> Entry:
+        return Entry(
+            self.life, self.address, self.site, self.state, self.version, age, status, self.refutations
+        )
 
 
 @dataclass(slots=True)
@@ -70,6 +79,7 @@
         self.probes: dict[int, Probe] = {}
         self.rumours: dict[str, int] = {}  # names to tell of, and how often it still is
         self.last_beat, self.next_probe = now, now
+        self.refutations = 0  # accusations of this life that it answered: SWIM's incarnation number
         self.lateness = 0  # 0: well; each step makes it more patient with others
         self.heard_any: float | None = None  # when any answer came
         self.born, self.alone_since = now, now
@@ -266,7 +276,9 @@
             if e.life != self.life:
                 self.namesake(e.life)
             elif e.state in (SUSPECT, DEAD):
-                self._spread(name)  # said to be dead: it says that it is not
+                # Said to be dead: it says that it is not, above the number of whoever says so.
+                self.refutations = max(self.refutations, e.refutations + 1)
+                self._spread(name)
             return
         m = self.members.get(name)
         if m is None or e.life.follows(m.life):
@@ -275,17 +287,31 @@
                 if m is None and last is None:
                     self.ended[name] = e.life  # known only as gone
                 return
-            self.met(e.life, e.address, e.site, now)
+            if self.met(e.life, e.address, e.site, now):
+                self._refuted(self.members[name], e.refutations, now)
             return
         if e.life != m.life or e.state not in RANK:
             return
+        self._refuted(m, e.refutations, now)
         if e.state == LEFT and m.state in (ALIVE, SUSPECT):
             self._gone(m, LEFT, now)
+        elif e.refutations < m.refutations:
+            return  # an accusation that it has answered
         elif e.state in (SUSPECT, DEAD) and m.state in (ALIVE, SUSPECT):
             # Own hearing goes before hearsay: one that answered a moment ago is not suspected for it.
             if m.heard_at is None or now - m.heard_at > 2 * self.patience:
                 self._suspect(m, by, now)
 
+    def _refuted(self, m: Member, refutations: int, now: float) -> None:
+        """It is known to have answered accusations up to this one: what was held against it before is
+        over, a death too. Who left stays so."""
+        if refutations <= m.refutations:
+            return
+        m.refutations = refutations
+        if m.state in (SUSPECT, DEAD):
+            m.state, m.since, m.accusers = ALIVE, now, set()
+        self._spread(m.life.name)
+
     def left(self, life: Life, now: float) -> None:
         m = self.members.get(life.name)
         if m is not None and m.life == life and m.state != LEFT:
@@ -294,7 +320,10 @@
     def learn(self, e: Entry, lag: float, now: float) -> None:
         """A status, with the most that it can be old; `lag`: since the ping that it answers was sent."""
         m = self.members.get(e.life.name)
-        if m is None or m.life != e.life or e.age_ms < 0:
+        if m is None or m.life != e.life:
+            return
+        self._refuted(m, e.refutations, now)
+        if e.age_ms < 0:
             return
         told = now - lag - e.age_ms / 1000
         if e.version > m.version or (e.version == m.version and (m.told_at is None or told > m.told_at)):
@@ -304,10 +333,14 @@
     def _spread(self, name: str) -> None:
         self.rumours[name] = 3 * max(1, math.ceil(math.log2(len(self.members) + 2)))
 
-    def to_tell(self, now: float, me: Entry) -> list[Entry]:
-        """The rumours for one message, the least told first."""
-        names = sorted(self.rumours, key=lambda n: -self.rumours[n])[:RUMOURS]
-        out = []
+    def to_tell(self, now: float, me: Entry, to: str = "") -> list[Entry]:
+        """The rumours for one message, the least told first. One who is accused is told so each time that
+        it is asked (`to`): nobody else can end a false accusation."""
+        accused = self.members.get(to)
+        if accused is not None and accused.state not in (SUSPECT, DEAD):
+            accused = None
+        out = [accused.rumour()] if accused is not None else []
+        names = sorted(self.rumours, key=lambda n: -self.rumours[n])[: RUMOURS - len(out)]
         for name in names:
             self.rumours[name] -= 1
             if self.rumours[name] <= 0:
@@ -315,8 +348,8 @@
             m = self.members.get(name)
             if name == self.life.name:
                 out.append(me)
-            elif m is not None:
-                out.append(Entry(m.life, m.address, m.site, m.state, m.version, -1))
+            elif m is not None and m is not accused:
+                out.append(m.rumour())
         return out
 
     def some(self, count: int, without: Iterable[str]) -> list[str]:
--- a/ochrehoist/peers/wire.py
+++ b/ochrehoist/peers/wire.py
@@ -28,7 +28,13 @@
 
 
 class Entry(msgspec.Struct, array_like=True):
-    """What is known of a member. `age_ms`: the most that it can be old, -1 where it was never heard."""
+    """What is known of a member. `age_ms`: the most that it can be old, -1 where it was never heard.
+
+    `refutations`: SWIM's incarnation number, within a life. Only the member itself raises it, on hearing an
+    accusation of this number; so a higher one proves that it was there after that accusation. `version`
+    does not: it goes up with each beat, and one that is newer than the accuser's may be older than the
+    accusation.
+    """
 
     life: Life
     address: str
@@ -37,6 +43,7 @@
     version: int = 0
     age_ms: int = -1
     status: bytes = b""  # a Status, as its owner encoded it
+    refutations: int = 0  # last: a member of before this field passes it over, and what it tells has 0
 
 
 class Evidence(msgspec.Struct, array_like=True):
--- /dev/null
+++ b/tests/test_peers_suspicion.py
@@ -0,0 +1,184 @@
+"""How an accusation of a member ends: refutation numbers, which only the accused raises (SWIM)."""
+
+import unittest
+
+import msgspec
+
+from ochrehoist.lab.virtual import World
+from ochrehoist.peers.members import ALIVE, DEAD, LEFT, SUSPECT, Membership
+from ochrehoist.peers.rights import Budget
+from ochrehoist.peers.wire import Entry, Life
+
+A, B = Life("a", 10, 1), Life("b", 10, 1)
+
+
+def said(state, refutations=0, life=B, version=0):
+    return Entry(life, f"at:{life.name}", "", state, version, -1, b"", refutations)
+
+
+class Refutation(unittest.TestCase):
+    def setUp(self):
+        self.m = Membership(A, "at:a", "", {}, 0.1, 0.0, 1)
+        self.m.met(B, "at:b", "", 0.0)
+        self.b = self.m.members["b"]
+
+    def hear(self, *entries, now=10.0):
+        for e in entries:
+            self.m.rumour(e, "c", now)
+        return self.b.state
+
+    def test_a_higher_number_ends_a_suspicion_and_the_same_does_not(self):
+        self.assertEqual(self.hear(said(SUSPECT), said(ALIVE)), SUSPECT)
+        self.assertEqual(self.hear(said(ALIVE, 1)), ALIVE)
+        self.assertEqual(self.b.accusers, set())
+
+    def test_a_newer_version_alone_ends_none(self):
+        """Each beat makes one: it may be older than the accusation, and newer than what the accuser had."""
+        self.hear(said(SUSPECT, version=5))
+        self.assertEqual(self.hear(said(ALIVE, version=900)), SUSPECT)
+
+    def test_an_accusation_that_was_answered_is_passed_over_whoever_repeats_it(self):
+        self.hear(said(ALIVE, 1))
+        self.assertEqual(self.hear(said(SUSPECT), said(DEAD)), ALIVE)
+        self.assertEqual(self.hear(said(SUSPECT, 1)), SUSPECT)
+
+    def test_an_accusation_of_a_higher_number_begins_anew(self):
+        self.hear(said(SUSPECT), now=10.0)
+        self.hear(said(SUSPECT, 3), now=11.0)
+        self.assertEqual((self.b.state, self.b.suspect_at, self.b.refutations), (SUSPECT, 11.0, 3))
+
+    def test_one_called_dead_returns_by_a_higher_number_only(self):
+        self.b.state = DEAD
+        self.assertEqual(self.hear(said(ALIVE)), DEAD)
+        self.assertEqual(self.hear(said(ALIVE, 1)), ALIVE)
+
+    def test_who_left_stays_so(self):
+        self.hear(said(LEFT))
+        self.assertEqual(self.hear(said(ALIVE, 4)), LEFT)
+
+    def test_one_of_another_life_says_nothing_of_this_one(self):
+        self.hear(said(SUSPECT))
+        self.assertEqual(self.hear(said(ALIVE, 4, Life("b", 9, 1))), SUSPECT)
+        self.hear(said(ALIVE, 4, Life("b", 11, 1)))
+        self.assertEqual((self.m.members["b"].state, self.m.members["b"].refutations), (ALIVE, 4))
+        self.assertEqual(self.m.members["b"].life.inc, 11)
+
+    def test_what_an_answer_tells_of_it_counts_too(self):
+        self.hear(said(SUSPECT))
+        self.m.learn(Entry(B, "at:b", "", ALIVE, 7, 20, b"", 1), 0.01, 10.0)
+        self.assertEqual(self.b.state, ALIVE)
+
+    def test_the_accused_alone_raises_its_number_above_the_accusation(self):
+        self.m.rumour(said(SUSPECT, 0, A), "c", 1.0)
+        self.assertEqual(self.m.refutations, 1)
+        self.m.rumour(said(DEAD, 0, A), "c", 1.0)  # answered before
+        self.m.rumour(said(ALIVE, 1, A), "c", 1.0)
+        self.assertEqual(self.m.refutations, 1)
+        self.m.rumour(said(DEAD, 6, A), "c", 1.0)
+        self.assertEqual(self.m.refutations, 7)
+        self.m.rumour(said(SUSPECT, 6, Life("a", 9, 1)), "c", 1.0)  # a life before
+        self.assertEqual(self.m.refutations, 7)
+        self.m._suspect(self.b, "a", 1.0)
+        self.assertEqual(self.b.refutations, 0)
+
+    def test_who_is_asked_is_told_that_it_is_accused_and_each_other_rumour(self):
+        self.hear(said(SUSPECT))
+        self.m.rumours.clear()
+        me = said(ALIVE, 0, A)
+        self.assertEqual([(e.life, e.state) for e in self.m.to_tell(10.0, me, "b")], [(B, SUSPECT)])
+        self.assertEqual(self.m.to_tell(10.0, me, "c"), [])
+        self.m.rumours = {"b": 2, "a": 1}
+        self.assertEqual([e.life for e in self.m.to_tell(10.0, me, "b")], [B, A])
+        self.hear(said(ALIVE, 1))
+        self.m.rumours.clear()
+        self.assertEqual(self.m.to_tell(10.0, me, "b"), [])
+
+
+class EntryOfBefore(msgspec.Struct, array_like=True):
+    """What a member before refutation numbers reads and says."""
+
+    life: Life
+    address: str
+    site: str
+    state: str
+    version: int = 0
+    age_ms: int = -1
+    status: bytes = b""
+
+
+class Mixed(unittest.TestCase):
+    def test_members_of_before_read_what_they_get_and_are_read(self):
+        new = Entry(B, "at:b", "s", SUSPECT, 3, 7, b"status", 5)
+        old = msgspec.msgpack.decode(msgspec.msgpack.encode(new), type=EntryOfBefore)
+        self.assertEqual(old, EntryOfBefore(B, "at:b", "s", SUSPECT, 3, 7, b"status"))
+        back = msgspec.msgpack.decode(msgspec.msgpack.encode(old), type=Entry)
+        self.assertEqual(back, Entry(B, "at:b", "s", SUSPECT, 3, 7, b"status", 0))
+
+
+class Rest(unittest.TestCase):
+    """A group is at rest again after one fault, at sizes where not all have heard each other lately."""
+
+    WITHIN_S = 30.0
+
+    def after(self, count, fault, lasts):
+        w = World(1, (Budget("rate", 60, ("w000", "w001", "w002"), floor_lease_s=4.0),), encoded=True)
+        w.known = False
+        w.fleet(count)
+        w.run(10.0)
+        self.assertEqual(self.wrong(w, count), [])
+        fault(w, w.nodes[w.address("w004")])
+        over = w.now + lasts
+        w.run(over + 1.0)
+        while self.wrong(w, count):
+            self.assertLess(w.now - over, self.WITHIN_S, self.wrong(w, count))
+            w.run(w.now + 1.0)
+        w.run(w.now + 5.0)
+        self.assertEqual(self.wrong(w, count), [])  # and stays so
+        return w
+
+    @staticmethod
+    def wrong(w, count):
+        if len(w.nodes) < count:
+            return ["one is not there"]
+        return [(n.name, m.life.name, m.state) for n in w.nodes.values()
+                for m in n.group.members.members.values() if m.state != ALIVE or m.life !=
+                w.nodes[w.address(m.life.name)].group.life] + \
+            [n.name for n in w.nodes.values() if len(n.group.members.members) != count - 1]
+
+    def test_after_a_pause(self):
+        for count in (20, 40):
+            with self.subTest(count=count):
+                self.after(count, lambda w, node: w.pause(node, 1.5), 1.5)
+
+    def test_after_a_pause_that_all_call_a_death(self):
+        w = self.after(20, lambda w, node: w.pause(node, 10.0), 10.0)
+        self.assertGreaterEqual(sum(bool(n.group.members.deaths) for n in w.nodes.values()), 19)
+
+    def test_after_a_kill_and_a_start(self):
+        def fault(w, node):
+            w.kill(node)
+            w.at(w.now + 1.0, lambda: w.start(node.name))
+
+        self.after(20, fault, 1.0)
+
+    def test_after_a_cut_of_one(self):
+        self.after(20, lambda w, node: w.cut({node.name}, set(w.names) - {node.name}, 3.0), 3.0)
+
+    def test_after_a_cut_into_halves(self):
+        w = self.after(20, lambda w, node: w.cut(set(w.names[:10]), set(w.names[10:]), 8.0), 8.0)
+        self.assertTrue(any(n.group.members.deaths for n in w.nodes.values()))
+
+    def test_a_death_is_called_one_by_all_and_is_not_taken_back(self):
+        w = World(2, (), encoded=True)
+        w.known = False
+        nodes = w.fleet(20)
+        w.run(10.0)
+        w.kill(nodes[4])
+        w.run(25.0)
+        for _ in range(10):
+            self.assertEqual({n.group.members.members["w004"].state for n in w.nodes.values()}, {DEAD})
+            w.run(w.now + 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
