Load the reader in parts, and tomli, only for a large configuration

Change: a short TOML file is read by tomllib as ever; the reader in parts is loaded where a file is over 32 KB.

--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from ochrehoist import config_json
-from ochrehoist.config_source import Kept, Source, Text, joined, text_in_steps
+from ochrehoist.config_source import Kept, Reading, Source, Text, joined, text_in_steps
 from ochrehoist.config_types import (
     CONTROLLERS,
     ON_LOSS,
@@ -147,12 +147,20 @@
 
 def _toml(path: str, key: str, rules: _Rules, tenants: Tenants, before: Source | None) -> Steps:
     """The file's data, its source, what its lines are, and the digest of its text."""
-    from ochrehoist import config_toml  # its library is for those who have such a file
-
     yield from rules.know_in_steps()
     try:
         text = yield from text_in_steps(path)
-        read = yield from config_toml.read_in_steps(text, {TENANTS: tenants.take, RULES: rules.take}, before)
+        if text.size <= config_json.WHOLE:
+            import tomllib  # for those who have such a file
+
+            read = Reading(tomllib.loads(text.whole()))
+        else:
+            from ochrehoist import config_toml  # for those who have a large one
+
+            read = yield from config_toml.read_in_steps(
+                text, {TENANTS: tenants.take, RULES: rules.take}, before)
+    except RecursionError:
+        raise BadInput(f"setting {key}: {path}: nested too deeply") from None
     except (OSError, ValueError) as error:
         raise BadInput(f"setting {key}: {path}: {error}") from None
     top = only(Reader(read.data, ""), "name", "stop_ms", "limits", "admin", "ajp", "console", "state",
--- a/ochrehoist/config_source.py
+++ b/ochrehoist/config_source.py
@@ -36,6 +36,24 @@
     kept: Mapping[Path, Kept]
 
 
+@dataclass(slots=True)
+class Reading:
+    """A file read."""
+
+    data: dict[str, Any]  # as a plain reading gives it, but a range stands for elements of before
+    rest: Mapping[str, Any] | None = None  # without those arrays; None: all was read as a whole
+    rest_digest: bytes = b""
+    stretches: Mapping[Path, Stretches] = field(default_factory=dict)
+    lines: Mapping[Path, Sequence[int]] = field(default_factory=dict)  # of the elements
+
+    def source(self, digest: bytes, elements: Mapping[Path, Sequence[Any]]) -> Source | None:
+        """What the next reading may know. `elements`: the arrays as they were taken."""
+        if self.rest is None:
+            return None
+        return Source(digest, self.rest, self.rest_digest,
+                      {path: Kept(elements[path], stretches) for path, stretches in self.stretches.items()})
+
+
 class Text:
     """A file's text in parts, its newlines all as \\n, with the digest of its bytes."""
 
--- a/ochrehoist/config_toml.py
+++ b/ochrehoist/config_toml.py
@@ -1,24 +1,25 @@
 """TOML read in steps: arrays of tables by stretches of some dozens of elements, the rest as a whole.
 
-What says what the text means is tomli alone: a stretch of elements is a document of its own, and in the rest
-an empty element stands for each run of them, so that what may follow what is judged there. A text whose form
-is unusual is read as a whole, by a thread that lets others go on.
+What says what the text means is tomli alone, which is tomllib compiled: a stretch of elements is a document
+of its own, and in the rest an empty element stands for each run of them, so that what may follow is judged
+there. A text whose form is unusual is read as a whole, by a thread that lets others go on.
 """
 
 import re
 import sys
+import threading
+import tomllib
 from array import array
 from bisect import bisect_right
-from collections.abc import Callable, Generator, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Generator, Mapping
 from hashlib import blake2b
 from typing import Any
 from zlib import crc32
 
 import tomli
 
-from ochrehoist.config_json import WHOLE, Path
-from ochrehoist.config_source import Kept, Source, Stretches, Text, joined
+from ochrehoist.config_json import Path
+from ochrehoist.config_source import Reading, Source, Stretches, Text, joined
 
 ELEMENTS = 64  # of a stretch, at the most,
 STRETCH = 4096  # or so many characters, unless one element has more
@@ -45,43 +46,22 @@
     """The text is no TOML."""
 
 
-@dataclass(slots=True)
-class Reading:
-    """A file read."""
-
-    data: dict[str, Any]  # as a plain reading gives it, but a range stands for elements of before
-    rest: Mapping[str, Any] | None = None  # without those arrays; None: all was read as a whole
-    rest_digest: bytes = b""
-    stretches: Mapping[Path, Stretches] = field(default_factory=dict)
-    lines: Mapping[Path, array] = field(default_factory=dict)  # of the elements
-
-    def source(self, digest: bytes, elements: Mapping[Path, Sequence[Any]]) -> Source | None:
-        """What the next reading may know. `elements`: the arrays as they were taken."""
-        if self.rest is None:
-            return None
-        return Source(digest, self.rest, self.rest_digest,
-                      {path: Kept(elements[path], stretches) for path, stretches in self.stretches.items()})
-
-
 def read_in_steps(text: Text, element_of: Mapping[Path, Callable[[Any], Any]],
                   before: Source | None) -> Generator[None, None, Reading]:
     """`element_of` makes an element's data into what is kept of it; what it can't use, it gives back.
 
     Raises ValueError, with the line at fault.
     """
-    if text.size > WHOLE:
-        if before is not None and before.digest == text.digest:
-            all_of = {path: [range(len(kept.elements))] for path, kept in before.kept.items()}
-            return Reading(joined(before.rest, all_of), before.rest, before.rest_digest,
-                           {path: kept.stretches for path, kept in before.kept.items()})
-        try:
-            return (yield from _Parting(element_of, before).read(text))
-        except _Unusual:
-            pass
-        except _Faulty as error:
-            raise ValueError(str(error)) from None
+    if before is not None and before.digest == text.digest:
+        all_of = {path: [range(len(kept.elements))] for path, kept in before.kept.items()}
+        return Reading(joined(before.rest, all_of), before.rest, before.rest_digest,
+                       {path: kept.stretches for path, kept in before.kept.items()})
+    try:
+        return (yield from _Parting(element_of, before).read(text))
+    except _Unusual:
         return Reading((yield from _aside(text.whole())))
-    return Reading(_loads(text.whole()))
+    except _Faulty as error:
+        raise ValueError(str(error)) from None
 
 
 def _loads_in_steps(text: str) -> Generator[None, None, dict[str, Any]]:
@@ -92,9 +72,6 @@
 
 def _aside(text: str) -> Generator[None, None, dict[str, Any]]:
     """By tomllib, which gives the interpreter back when asked: tomli is compiled, and holds it to its end."""
-    import threading
-    import tomllib
-
     done: list[dict[str, Any] | Exception] = []
 
     def read() -> None:
--- a/tests/test_config_at_size.py
+++ b/tests/test_config_at_size.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from unittest import mock
 
+import tomli
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from stand_ins import ROOT, run, toml_file
@@ -79,7 +80,7 @@
 
     def setUp(self):
         super().setUp()
-        for module, values in ((config_toml, {"WHOLE": -1, "ELEMENTS": 4, "BORDER": 2}),
+        for module, values in ((config_toml, {"ELEMENTS": 4, "BORDER": 2}),
                                (config_json, {"WHOLE": -1, "TAKEN": 50}), (config_source, {"PART": 300})):
             patch = mock.patch.multiple(module, **values)
             patch.start()
@@ -286,14 +287,14 @@
         self.parsed, self.longest, self.calls, self.made, self.most, self.step = 0, 0, 0, 0, 0, 0
 
     def read(self, path, before):
-        def loads(text, real=config_toml.tomli.loads):
+        def loads(text, real=tomli.loads):
             self.parsed += len(text)
             self.calls += 1
             self.longest = max(self.longest, len(text))
             return real(text)
 
         generator = config.load_in_steps(path, {}, before)
-        with mock.patch.object(config_toml.tomli, "loads", loads):
+        with mock.patch.object(tomli, "loads", loads):
             checked = Tenants._checked
 
             def counting(one, data, where):
@@ -488,6 +489,15 @@
         loaded = set(done.stdout.split())
         self.assertFalse(loaded & {"tomli", "tomllib", "ochrehoist.config_toml", "ochrehoist.config_fleet"})
 
+    def test_a_short_file_needs_no_compiled_reader(self):
+        code = "import sys; from ochrehoist import config; config.load(sys.argv[1], {}); print(*sys.modules)"
+        loaded = []
+        for text in (toml_file(appliance([tenant(0)], [rule(0)])), large(1_000, 65)):
+            done = subprocess.run([sys.executable, "-c", code, self.file(text)], cwd=ROOT,
+                                  capture_output=True, text=True, check=True)
+            loaded.append("tomli" in done.stdout.split())
+        self.assertEqual(loaded, [False, True])
+
     def test_no_module_of_the_configuration_needs_one_that_needs_it(self):
         names = ["config", "config_fleet", "config_json", "config_source", "config_toml", "config_types",
                  "config_values", "settings"]
--- a/tests/test_config_text.py
+++ b/tests/test_config_text.py
@@ -75,7 +75,7 @@
             plain = tomllib.loads(Path(path).read_text(encoding="utf-8"))
         except ValueError as error:
             fault = error
-        with mock.patch.multiple(config_toml, WHOLE=-1, SHORT=short, ELEMENTS=elements, BORDER=border), \
+        with mock.patch.multiple(config_toml, SHORT=short, ELEMENTS=elements, BORDER=border), \
                 mock.patch.object(config_source, "PART", part):
             try:
                 text = at_once(config_source.text_in_steps(path))
@@ -103,7 +103,7 @@
             data = config_source.joined(reading.data, {ARRAY: whole}) if listed else reading.data
             return data, reading.source(text.digest, {ARRAY: whole})
 
-        with mock.patch.multiple(config_toml, WHOLE=-1, ELEMENTS=elements, BORDER=2):
+        with mock.patch.multiple(config_toml, ELEMENTS=elements, BORDER=2):
             source = None
             for text in (first, second + first, first + second, second):
                 try:
