Keep what finds unchanged parts out of the collector's sight, and its look a step apart

Seen by gc.get_objects() before the look through the new tuple: 3,800 tuples of the routes' keys and 2,700 of the stretches were young then too, in dicts that are looked through with them. Now keys are text and stretches ranges, which the collector does not track, and the look has a step to itself.

--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -56,12 +56,13 @@
     """Makes the elements of `ajp.rules`; one that is as before comes back as the same object."""
 
     def __init__(self, before: tuple[AjpRule, ...]) -> None:
-        self.before, self.known, self.methods = before, {}, {}
+        self.before, self.methods = before, {}
+        self.known: dict[str, int] = {}  # places; such a dict is nothing to the collector
 
     def know_in_steps(self) -> Steps:
         for at, rule in enumerate(self.before):
-            self.known[rule.uri, rule.methods, rule.kind] = rule
-            self.methods[rule.methods] = rule.methods
+            some = self.methods.setdefault(rule.methods, rule.methods)  # few sets for many rules
+            self.known[self._key(rule.uri, some, rule.kind)] = at
             if not (at + 1) % STEP:
                 yield
 
@@ -84,8 +85,13 @@
         if not uri.startswith("/"):
             raise BadInput(f"setting {rule.path}uri: does not start with /: {uri!r}")
         some = frozenset(m.upper() for m in methods)
-        some = self.methods.setdefault(some, some)  # few sets for many rules
-        return self.known.get((uri, some, kind)) or AjpRule(uri, some, kind)
+        some = self.methods.setdefault(some, some)
+        at = self.known.get(self._key(uri, some, kind))
+        return AjpRule(uri, some, kind) if at is None else self.before[at]
+
+    @staticmethod
+    def _key(uri: str, methods: frozenset[str], kind: str) -> str:
+        return f"{id(methods)} {len(uri)} {uri}{kind}"
 
     def all_in_steps(self, r: Reader, settings: Settings) -> Generator[None, None, tuple[AjpRule, ...]]:
         """All of them. Raises BadInput."""
--- a/ochrehoist/config_source.py
+++ b/ochrehoist/config_source.py
@@ -15,7 +15,7 @@
 TRIES = 5  # at a file that changes while it is read
 
 
-Stretches = dict[bytes, tuple[int, int]]  # which elements a piece of text gave: the first and the number
+Stretches = dict[bytes, range]  # which elements a piece of text gave; ranges are nothing to the collector
 
 
 @dataclass(slots=True, frozen=True)
--- a/ochrehoist/config_toml.py
+++ b/ochrehoist/config_toml.py
@@ -244,15 +244,14 @@
             return
         digest = blake2b(text.encode(), digest_size=16).digest()
         end = len(self.lines[path])
-        self.stretches[path][digest] = end - number, number
+        self.stretches[path][digest] = range(end - number, end)
         known = self.known[path].get(digest)
         if known is None:
             elements += map(element_of, self._parse(text, follows))
             return
-        first, number = known
-        if elements and type(elements[-1]) is range and elements[-1].stop == first:
-            first = elements.pop().start
-        elements.append(range(first, known[0] + number))
+        if elements and type(elements[-1]) is range and elements[-1].stop == known.start:
+            known = range(elements.pop().start, known.stop)
+        elements.append(known)
 
     def _parse(self, text: str, follows: str) -> list[Any]:
         try:
--- a/ochrehoist/settings.py
+++ b/ochrehoist/settings.py
@@ -201,6 +201,7 @@
     yield
     whole = tuple(out)
     out.clear()
+    yield
     # Looked through now, it is so once, while in the caches; later it would be twice, and take longer.
     gc.collect(1)
     yield
