Test a change of configuration while the store still opens

The store's folder is held shut by a disk that does not answer: the change is in force at once, and what was on record of a tenant that it takes away is answered once the store is open. Passes; no code is changed.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -12,7 +12,7 @@
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
-from stand_ins import PATIENCE, ProgramCase, settings, toml_file
+from stand_ins import MEMORY, PATIENCE, ProgramCase, settings, toml_file
 
 from ochrehoist import interface as i
 from ochrehoist.capture.records import Damage, Head, head_block, records, start, told
@@ -26,6 +26,16 @@
 from ochrehoist.sites.order import MOST_TOLD, Order
 from ochrehoist.worker import Worker
 
+OPENS_ONCE = '''
+import os, time
+from ochrehoist.store.journal import Journal
+opened = Journal._open
+def waits(self, longest):
+    while os.path.exists({!r}):
+        time.sleep(0.005)
+    return opened(self, longest)
+Journal._open = waits
+'''  # the disk does not answer as long as there is a file of this name
 NAMES = st.lists(st.integers(0, 12), unique=True, max_size=12)
 
 
@@ -338,6 +348,34 @@
         program.process.send_signal(signal.SIGTERM)
         self.assertEqual((program.ended(), files()), (0, 2))
 
+    def test_a_change_while_the_store_still_opens_is_in_force_and_what_is_on_record_is_known(self):
+        folder = tempfile.TemporaryDirectory(dir=MEMORY)
+        self.addCleanup(folder.cleanup)
+        state, shut = {"folder": str(Path(folder.name, "state"))}, Path(folder.name, "shut")
+        program = self.begin(state=state)
+        web = program.ajp()
+        self.ask(web, "acme")
+        program.server.next()[2](data=b"filed")
+        self.assertEqual(web.answer()[2], b"filed")
+        program.process.send_signal(signal.SIGTERM)
+        web.close()
+        self.assertEqual(program.ended(), 0)
+        shut.touch()
+        program = self.begin(state=state, fault=OPENS_ONCE.format(str(shut)))
+        said = program.reload("ajp.toml", self.change(program, {"other": 5.0}))
+        self.assertFalse(json.loads(program.operator()[1])["store"]["open"])
+        self.assertEqual(said["version"], self.configuration(program)["version"])
+        shut.unlink()
+        program.wait_for(lambda status: "'open': True" in status["store"])
+        web = program.ajp()
+        self.ask(web, "acme")  # gone, and on record
+        self.assertEqual(web.answer()[2], b"filed")
+        self.ask(web, "acme", key="new")
+        self.assertEqual(web.answer()[0], 400)
+        self.ask(web, "other")
+        program.server.next()[2](data=b"of the other")
+        self.assertEqual(web.answer()[2], b"of the other")
+
     def test_many_changes_leave_the_memory_as_it_was(self):
         program = self.begin()
         sizes = []
