Keep no order once another process decides: a replaced process would have spun

An order that came while a file was read, and that was still due when the process handed over, made the task begin and end anew in each turn of the loop (reload.py _work, _begin): seen by reading, shown by a test that is red without the check (the task never ends). Two tests of a change while the state is handed over pass.

--- a/ochrehoist/reload.py
+++ b/ochrehoist/reload.py
@@ -106,7 +106,7 @@
 
     # ---- reading
     def _begin(self) -> None:
-        if not self.reading:
+        if not self.reading and self.owner.forwarder is None:
             self.reading = True
             self.loop.spawn(self._work)
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -437,30 +437,57 @@
 class Standing(unittest.TestCase):
     """While the core's state is on its way to another process, which may still say no."""
 
-    def test_a_change_waits_until_that_is_over_and_is_then_in_force(self):
+    def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         path = appliance(folder.name, range(3), 1)
-        worker = Worker(load(path), path)
-        self.addCleanup(Growth.close, self, worker)
-        worker.owner.step()
-        worker.owner.freeze()
+        self.worker = Worker(load(path), path)
+        self.addCleanup(Growth.close, self, self.worker)
+        self.worker.owner.step()
+        self.worker.owner.freeze()
         appliance(folder.name, range(4), 1)
-        worker.reloading.order()
-        worker.loop.call_later(0.05, lambda: self.assertNotIn("t3", worker.owner.tenants))
-        worker.loop.call_later(0.05, worker.owner.thaw)
-        seen = []
+        self.worker.reloading.order()
+
+    def run_until(self, done):
+        """The loop; whether it was done in time."""
+        loop, seen = self.worker.loop, []
 
         def look():
-            if "t3" in worker.owner.tenants:
-                seen.append(worker.reloading.last)
-                return worker.loop.stop()
-            worker.loop.call_later(0.01, look)
-
-        worker.loop.call_later(0.06, look)
-        worker.loop.call_later(PATIENCE, worker.loop.stop)
-        worker.loop.run()
-        self.assertEqual(seen, ["taken"])
+            if done():
+                seen.append(True)
+                return loop.stop()
+            loop.call_later(0.01, look)
+
+        look()
+        loop.call_later(PATIENCE, loop.stop)
+        loop.run()
+        loop.stopped = False
+        return bool(seen)
+
+    def prepared(self):
+        """All that is left is the switch."""
+        rounds = []
+        self.assertTrue(self.run_until(lambda: rounds.append(1) or len(rounds) > 20))
+        self.assertEqual((self.worker.reloading.reading, len(self.worker.owner.tenants)), (True, 3))
+
+    def test_a_change_waits_until_that_is_over_and_is_then_in_force(self):
+        self.prepared()
+        self.worker.owner.thaw()
+        self.assertTrue(self.run_until(lambda: not self.worker.reloading.reading))
+        self.assertEqual((len(self.worker.owner.tenants), self.worker.reloading.last), (4, "taken"))
+
+    def test_once_the_other_process_decides_nothing_is_taken_and_no_order_kept(self):
+        self.prepared()
+        reloading, rounds = self.worker.reloading, []
+        reloading.order()  # one more, which came before
+        self.worker.owner.hand_over(lambda line: True, None)
+        self.assertTrue(self.run_until(lambda: not reloading.reading))
+        self.worker.loop.meter = lambda took, late: rounds.append(took)
+        until = time.monotonic() + 0.05
+        self.assertTrue(self.run_until(lambda: time.monotonic() > until))
+        self.assertLess(len(rounds), 100)  # it has nothing to do but what is looked at now and then
+        self.assertFalse(reloading.reading)
+        self.assertEqual((len(self.worker.owner.tenants), reloading.last), (3, "start"))
 
 
 if __name__ == "__main__":
