--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -434,6 +434,34 @@
         self.assertEqual((configuration["version"], configuration["last"]), (version, "start"))
 
 
+class Crowded(unittest.TestCase):
+    def test_places_of_the_gone_are_given_up_but_for_those_with_a_filing_known(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = appliance(folder.name, range(SPARE + 50), 1)
+        worker = Worker(load(path), path)
+        self.addCleanup(Growth.close, self, worker)
+        owner, reloading = worker.owner, worker.reloading
+        owner.step()
+        owner.keys.started(("t40", "filing", "key"), "first", owner.clock() + 60 * 10**9, None)
+        module = owner.controller
+
+        def change(numbers):
+            appliance(folder.name, numbers, 1)
+            reloading._commit(at_once(reloading._steps(False)))
+            return sorted(owner.tenants.gone)
+
+        # Of those that go in one change, one more request may have been read: they stay until the next.
+        self.assertEqual(len(change(range(3))), SPARE + 47)
+        self.assertIsNot(owner.controller, module)
+        self.assertEqual(change(range(3)), ["t40"])
+        self.assertEqual([t.name for t in owner.controller.s.tenants], ["t0", "t1", "t2", "t40"])
+        module = owner.controller
+        self.assertEqual(change([0, 40]), ["t1", "t2"])  # few are gone: the module stays
+        self.assertIs(owner.controller, module)
+        self.assertEqual(owner.tenants["t40"], 3)
+
+
 class Standing(unittest.TestCase):
     """While the core's state is on its way to another process, which may still say no."""
 
