Test that a reading that runs out of memory changes nothing and is told of

Passes with the handling of faults that reload.py has by now; red without it: the status went on to say start, and no figure counted it.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -36,6 +36,18 @@
     return opened(self, longest)
 Journal._open = waits
 '''  # the disk does not answer as long as there is a file of this name
+RUNS_OUT = '''
+from ochrehoist import config
+whole, failed = config.load_in_steps, []
+def runs_out(*arguments, before=None, **more):
+    steps = whole(*arguments, before=before, **more)
+    if before is not None and not failed:
+        failed.append(next(steps, None))
+        yield
+        raise MemoryError
+    return (yield from steps)
+config.load_in_steps = runs_out
+'''  # in the middle of the first reading after the start
 NAMES = st.lists(st.integers(0, 12), unique=True, max_size=12)
 
 
@@ -376,6 +388,22 @@
         program.server.next()[2](data=b"of the other")
         self.assertEqual(web.answer()[2], b"of the other")
 
+    def test_a_reading_that_runs_out_of_memory_changes_nothing_is_told_of_and_can_be_ordered_again(self):
+        program = self.begin(fault=RUNS_OUT)
+        before = self.configuration(program)
+        web = program.ajp()
+        web.request(headers={"X-Tenant": "acme"})
+        program.process.send_signal(signal.SIGHUP)
+        program.wait_said("fault in a task")
+        after = self.configuration(program)
+        self.assertEqual((after["version"], after["last"], after["reading"]),
+                         (before["version"], "turned down", False))
+        self.assertEqual(program.figure("conf_invalid_total"), 1)
+        program.server.next()[2](data=b"as before")
+        self.assertEqual(web.answer()[2], b"as before")
+        said = program.reload("ajp.toml", self.change(program, {"other": 1.0}))
+        self.assertEqual(self.configuration(program)["version"], said["version"])
+
     def test_many_changes_leave_the_memory_as_it_was(self):
         program = self.begin()
         sizes = []
