--- a/benchmarks/read_cost.py
+++ b/benchmarks/read_cost.py
@@ -3,7 +3,8 @@
 
 `python -m benchmarks.read_cost REVISION [--reads N] [--rounds N]`; the revision comes from git, into a folder
 of its own that is removed again. With `--capture` instead of a revision: AJP reads of this tree without and
-with its load on record.
+with its load on record. With `--side-by-side` both run all the while and take turns of CHUNK reads, for a
+machine that is busy with other things; each figure is then of all its turns together.
 """
 
 import argparse
@@ -16,6 +17,7 @@
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "tests"))
@@ -24,6 +26,7 @@
 from stand_ins import Program, settings  # noqa: E402
 
 WARM = 300  # reads before the ones that count
+CHUNK = 50
 TICK = 1 / os.sysconf("SC_CLK_TCK")
 
 
@@ -57,32 +60,68 @@
             program.close()
 
 
-def cost(root: Path, front: str, reads: int, capture: dict | None = None, peers: dict | None = None) -> float:
-    """Microseconds of processor time for one read."""
+def started(root: Path, front: str, **more: Any) -> Program:
+    """One program with three tenants, before servers that answer at once."""
     site = settings()
     site["FamilyInfo"] |= {"Cores": 16, "HeapKb": 90e6}
+    site["Tenants"] = [{"Name": name, "QuotaPerS": 1e4, "Fraction": 1 / 3} for name in ("acme", "b", "c")]
     how = {"thrift": front == "thrift", "ajp": front == "ajp"}
-    program = Program(**how, site=site, server=InstantServer(), kernel=InstantKernel(b"a small page"),
-                      root=root, capture=capture, peers=peers)
+    return Program(**how, site=site, server=InstantServer(), kernel=InstantKernel(b"a small page"), root=root,
+                   **more)
+
+
+def read(front: str, client: Any, count: int) -> None:
+    for n in range(count):
+        answer = client.call(obj=f"{n % 50}") if front == "thrift" else client.call("GET", f"/reads/{n}")
+        if answer[0] not in ("Answer", 200):
+            raise SystemExit(f"a read was answered {answer[0]}")
+
+
+def cost(root: Path, front: str, reads: int, capture: dict | None = None, peers: dict | None = None) -> float:
+    """Microseconds of processor time for one read."""
+    program = started(root, front, capture=capture, peers=peers)
     try:
         client = program.thrift() if front == "thrift" else program.ajp()
-        began = 0.0
-        for n in range(WARM + reads):
-            if n == WARM:
-                began = used(program.process.pid)
-            answer = client.call(obj=f"{n % 50}") if front == "thrift" else client.call("GET", f"/reads/{n}")
-            if answer[0] not in ("Answer", 200):
-                raise SystemExit(f"a read was answered {answer[0]}")
+        read(front, client, WARM)
+        began = used(program.process.pid)
+        read(front, client, reads)
         return (used(program.process.pid) - began) / reads * 1e6
     finally:
         program.close()
 
 
+def run_for(pid: int) -> float:
+    """s of processor time of a process with one thread, to the nanosecond."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+
+
+def side_by_side(before: Path, front: str, args: argparse.Namespace) -> None:
+    programs = [started(root, front) for root in (before, ROOT)]
+    try:
+        clients = [p.thrift() if front == "thrift" else p.ajp() for p in programs]
+        for client in clients:
+            read(front, client, WARM)
+        spent: list[list[float]] = [[], []]
+        for n in range(args.rounds * args.reads // CHUNK):
+            for at in ((0, 1), (1, 0))[n % 2]:
+                began = run_for(programs[at].process.pid)
+                read(front, clients[at], CHUNK)
+                spent[at].append((run_for(programs[at].process.pid) - began) / CHUNK * 1e6)
+        then, now = (statistics.fmean(s) for s in spent)
+        middle = statistics.median(b / a for a, b in zip(*spent, strict=True))
+        print(f"{front}, side by side: {then:.1f} us before, {now:.1f} us now, now/before {now / then:.3f}; "
+              f"of {len(spent[0])} pairs of turns the middle one {middle:.3f}", flush=True)
+    finally:
+        for program in programs:
+            program.close()
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("revision", nargs="?")
     parser.add_argument("--capture", action="store_true")
     parser.add_argument("--peers", type=int, default=0, help="AJP reads alone, and in a fleet of so many")
+    parser.add_argument("--side-by-side", action="store_true")
     parser.add_argument("--reads", type=int, default=4000)
     parser.add_argument("--rounds", type=int, default=5)
     args = parser.parse_args()
@@ -101,6 +140,9 @@
                        check=True)
         try:
             for front in ("ajp", "thrift"):
+                if args.side_by_side:
+                    side_by_side(before, front, args)
+                    continue
                 compare(front, args, partial(cost, before, front, args.reads),
                         partial(cost, ROOT, front, args.reads))
         finally:
