--- a/ochrehoist/lab/scale.py
+++ b/ochrehoist/lab/scale.py
@@ -390,7 +390,8 @@
             self.notes.append(f"not all knew all within {s.join_s:g} s: the half of them knew "
                               f"{r['join']['p50']:g} of {s.members - 1} at most, one only "
                               f"{r['join']['least']}")
-        if late(rest):
+        r["trusted"] = not late(rest)
+        if not r["trusted"]:
             self.notes.append(f"the machine did not bear this size at pace {s.pace:g}: hollow workers were "
                               f"late {rest['was_late']} times at rest; figures count what they did get done")
         if r["at_end"]["faults"]:
--- a/ochrehoist/lab/scale_report.py
+++ b/ochrehoist/lab/scale_report.py
@@ -41,8 +41,8 @@
 
 
 def sizes(runs: Sequence[Run]) -> list[Run]:
-    """The runs that slopes are made of: those that ended whole, without real workers."""
-    return [r for r in runs if r["ended"] == "whole" and not r["spec"]["real"]]
+    """The runs that slopes are made of: those that ended whole, without real workers, in time."""
+    return [r for r in runs if r["ended"] == "whole" and not r["spec"]["real"] and r.get("trusted", True)]
 
 
 def slope(points: Sequence[tuple[float, float]]) -> dict[str, float] | None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -137,8 +137,8 @@
 class Report(unittest.TestCase):
     def test_slopes_are_least_squares_over_whole_runs_with_their_residual(self):
         runs = [made(n, 0.01 + 0.0002 * n) for n in (20, 50, 100)]
-        runs += [made(400, 9.0, ended="memory: over"), made(200, 0.05) | {"spec": {
-            "members": 200, "seed": 1, "real": 20}}]
+        runs += [made(400, 9.0, ended="memory: over"), made(800, 9.0, trusted=False)]
+        runs += [made(200, 0.05) | {"spec": {"members": 200, "seed": 1, "real": 20}}]
         fit = scale_report.slopes(runs)["processor"]
         self.assertAlmostEqual(fit["per_member"], 0.02)
         self.assertAlmostEqual(fit["at_none"], 1.0)
