--- a/tests/test_plan_answers.py
+++ b/tests/test_plan_answers.py
@@ -12,6 +12,7 @@
 
 from ochrehoist.capture.reader import Capture, Entry, read
 from ochrehoist.capture.records import NEVER, Head, Outcome, Seen
+from ochrehoist.lab import scale_report
 from ochrehoist.plan import pictures, report
 from ochrehoist.plan.captures import side_by_side
 from ochrehoist.plan.demand import Streams, captured
@@ -62,6 +63,9 @@
         one = {"classes": {c: {"goodput": v["goodput"]["mean"]} for c, v in same["classes"].items()},
                "seconds": same["seconds_line"], "events": [[3.0, "one lost"]]}
         yield "measure", {"measured": one, "forecast": one}
+        fit = scale_report.slope([(20, 1.0), (50, 2.0), (100, 3.0)])
+        yield "scale", {"plots": [{"name": "bytes", "unit": "kB/s", "fit": fit,
+                                   "points": [[20, 1.0], [50, 2.0], [100, 3.0]]}], "runs": []}
 
     def test_each_question_has_a_page_that_is_whole_and_needs_no_network(self):
         seen = set()
