--- a/ochrehoist/lab/scale.py
+++ b/ochrehoist/lab/scale.py
@@ -216,7 +216,10 @@
             await self._wait(2 * BEAT_S)  # until each has a status to tell
             lives = [life for x in await self._ask("lives") for life in x["lives"]]
             met = await self._ask("meet", lives=lives)
-            self.result["refused_as_members"] = sum(x["refused"] for x in met)
+            refused = self.result["refused_as_members"] = sum(x["refused"] for x in met)
+            if refused:
+                self.notes.append(f"{refused} times a member was refused by another, which had as many as it "
+                                  "takes (MOST_MEMBERS)")
 
     def zoned(self, names: list[str]) -> dict[str, str]:
         """Zones by turns, and regions by turns of zones."""
@@ -383,9 +386,6 @@
     def _judge(self) -> None:
         r, s = self.result, self.spec
         rest = r["rest"]
-        if r.get("refused_as_members"):
-            self.notes.append(f"{r['refused_as_members']} times a member was refused by another, which had "
-                              "as many as it takes (MOST_MEMBERS)")
         if r["join"]["all_s"] is None:
             self.notes.append(f"not all knew all within {s.join_s:g} s: the half of them knew "
                               f"{r['join']['p50']:g} of {s.members - 1} at most, one only "
