--- a/benchmarks/slopes/fit.py
+++ b/benchmarks/slopes/fit.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+FLAT = 1.02  # times the value at the size before: what grew no more at the end has come to its bound
 FEWEST = 4  # sizes under which no slope is told
 
 
@@ -51,6 +52,8 @@
     for (x1, a), (x2, b) in zip(points, points[1:], strict=False):
         if b >= bound:
             return x1 + (bound - a) / (b - a) * (x2 - x1), True
+    if points[-1][1] <= FLAT * points[-2][1]:
+        return None, False
     return line(sizes, values).breaks_at(bound), False
 
 
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -47,6 +47,10 @@
         self.assertEqual(crossing(sizes, values, 5), (10, True))
         self.assertEqual(crossing([1, 2, 3, 4], [7, 7, 7, 7], 8), (None, False))
 
+    def test_what_has_come_to_its_bound_is_not_told_to_break_beyond(self):
+        self.assertEqual(crossing([10, 100, 1000, 5000], [20, 200, 500, 505], 600), (None, False))
+        self.assertFalse(crossing([10, 100, 1000, 5000], [20, 200, 400, 505], 600)[0] is None)
+
     def test_noise_leaves_the_slope_near_the_truth(self):
         for seed in range(20):
             rng = random.Random(seed)
