--- a/benchmarks/slopes/state.py
+++ b/benchmarks/slopes/state.py
@@ -197,8 +197,9 @@
     status = encode_status(Status(False, False, [Evidence("s1", "ok", 8, 10, 1.0)],
                                   [Holding(f"budget-{n:06}", 0, 1, 0) for n in range(budgets)]))
     for k, name in enumerate(names[1:]):
-        group.members.members[name] = Member(Life(name, 1, k), f"127.0.0.1:{9001 + k}", "a", ALIVE, 0.0, 0.5,
-                                             0.0, set(), 1, 0.5, status)
+        group.members.members[name] = Member(
+            Life(name, 1, k), f"127.0.0.1:{9001 + k}", "a", ALIVE, 0.0, heard_at=0.5, version=1, told_at=0.5,
+            status=status)
         for life in range(lives):
             group.ledger.learn(Tally(Life(name, 1 + life, k), 1, 0, False, {
                 f"tenant/t{n}/answered": n for n in range(counted)}), 0.0, 0.0)
