Switch a changed configuration by the core's own queue, in the core's task

Seen on reading: Reloading._commit called Owner.step() from the task that reads (reload.py, the two calls in _commit), so a second task drove the module, though only one may: the message queue is what keeps order.

Change: Switched carries the switch of all parts and of the core, and is taken by the owner between two messages; the reading task waits for it. A core that stands still for a handover keeps it, one that was replaced drops it, as before. The tests of changes that called the switch by hand let the core take it, too; their bounds and expectations are as they were.

--- a/ochrehoist/core/owner.py
+++ b/ochrehoist/core/owner.py
@@ -36,6 +36,7 @@
     Result,
     Retuned,
     Standby,
+    Switched,
     TakenOver,
     TenantsRetuned,
     Waker,
@@ -358,7 +359,8 @@
 
     TAKES = {Booted: _booted, Arrived: _arrived, Gone: _gone, Ended: _ended, Joined: _joined,
              Gauges: _measured, Leaving: _leaving, Standby: _stood_by, Linked: _linked,
-             Retuned: retuning.retuned, TenantsRetuned: retuning.tenants_retuned, TakenOver: _taken_over,
+             Retuned: retuning.retuned, TenantsRetuned: retuning.tenants_retuned,
+             Switched: retuning.switched, TakenOver: _taken_over,
              Recorded: lambda self, m: self.filings.recorded(m),
              Restored: lambda self, m: self.filings.restored(m)}
 
--- a/ochrehoist/core/requests.py
+++ b/ochrehoist/core/requests.py
@@ -1,6 +1,6 @@
 """What crosses between the core, the fronts that read requests and the executors that run them."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol
@@ -308,6 +308,15 @@
     tenants: Tenants
 
 
+@dataclass(slots=True)
+class Switched:
+    """A configuration read again comes into force between two messages: at all parts, and in the core."""
+
+    parts: Callable[[], None]
+    core: Retuned | TenantsRetuned | None  # None where the core is not concerned
+    done: Callable[[], None]
+
+
 @dataclass(slots=True)
 class TakenOver:
     """How asking the process before this one ended: its state, or None where there is none to take."""
@@ -316,4 +325,4 @@
 
 
 Message = (Booted | Arrived | Gone | Ended | Joined | Gauges | Leaving | Standby | Recorded | Restored
-           | Linked | Retuned | TenantsRetuned | TakenOver)
+           | Linked | Retuned | TenantsRetuned | Switched | TakenOver)
--- a/ochrehoist/core/retuning.py
+++ b/ochrehoist/core/retuning.py
@@ -5,7 +5,7 @@
 from ochrehoist import interface as i
 from ochrehoist.core import succession
 from ochrehoist.core.figures import Figures
-from ochrehoist.core.requests import Retuned, TenantsRetuned
+from ochrehoist.core.requests import Retuned, Switched, TenantsRetuned
 from ochrehoist.core.tenants import Tenants, changed
 from ochrehoist.settings import at_once
 
@@ -38,3 +38,15 @@
     core.settings, core.tenants = m.settings, m.tenants
     if core.controller is not None:
         core.tell(i.TenantsChanged(core.told_tenants))
+
+
+def switched(core: Core, m: Switched) -> None:
+    """What was read before it was decided by what was in force before; no request meets half of a change."""
+    try:
+        m.parts()
+        if isinstance(m.core, Retuned):
+            retuned(core, m.core)
+        elif m.core is not None:
+            tenants_retuned(core, m.core)
+    finally:
+        m.done()
--- a/ochrehoist/reload.py
+++ b/ochrehoist/reload.py
@@ -14,10 +14,10 @@
 from ochrehoist.core.figures import counted
 from ochrehoist.core.linkwatch import LinkWatch
 from ochrehoist.core.owner import Owner
-from ochrehoist.core.requests import Linked, Retuned, TenantsRetuned
+from ochrehoist.core.requests import Linked, Retuned, Switched, TenantsRetuned
 from ochrehoist.core.tenants import STEP, Tenants, changed, compact
 from ochrehoist.net.kernel import Kernel
-from ochrehoist.net.loop import Loop
+from ochrehoist.net.loop import Loop, Signal
 from ochrehoist.settings import BadInput
 
 LOOK = 0.25  # s from one look at the kernel's link to the next
@@ -51,6 +51,7 @@
     fixed: list[str]  # keys that differ and need a restart
     message: Retuned | TenantsRetuned | None  # for the core; None where it is not concerned
     commits: list[Commit]
+    in_force: bool = False
 
 
 class Reloading:
@@ -67,6 +68,7 @@
         self.last, self.why, self.at = "start", "", time.monotonic()
         self.version, self.since = config.version, time.time()  # in force, and since when (Unix s)
         self.reading = False  # a task is at it
+        self.switched = Signal(loop)
         self.ordered = False  # and one more reading is due after it: the file may have changed since
         self.held = self.longest = 0.0  # s that the last reading, and any, held up the loop at most
         self.read_s = self.switch_s = 0.0  # of the last change: from its reading until in force; its switch
@@ -148,12 +150,15 @@
         or, with `only_new`, where nothing differs."""
         began, self.held = time.monotonic(), 0.0
         change = self._paced(self._steps(only_new))
-        while self.owner.frozen:  # its state is on the way to another process, which may still say no
-            self.loop.sleep(STAND)
-        if change is None or self.owner.forwarder is not None:
+        if change is None:
             return None
         before = [self.config, self.owner.tenants]
         self._commit(change)
+        # The core may stand still, its state on the way to another process, which may still say no.
+        while not change.in_force:
+            if self.owner.forwarder is not None:
+                return None
+            self.switched.wait(STAND)
         self.read_s = time.monotonic() - began
         # What they alone held is let go of in turns of its own: thousands of tenants take a while.
         for n in range(len(before)):
@@ -217,23 +222,29 @@
 
     # ---- into force
     def _commit(self, change: Change) -> None:
-        """In one turn, between two events."""
-        began = time.monotonic()
-        self.owner.step()  # what was read until now is decided by what is in force until now
-        for commit in change.commits:
-            try:
-                commit()
-            except Exception:  # a fault of one part of ours must not leave the others behind
-                self.log.exception("fault in taking a new configuration")
-        if change.message is not None:
-            self.owner.post(change.message)
-            self.owner.step()
-        self.config, self.version = change.config, change.version
-        self.last, self.why, self.at, self.before = "taken", "", time.monotonic(), self._counts()
-        self.since = time.time()
-        self.switch_s = self.at - began
-        self._held(self.switch_s)
-        self.loop.call_later(AFTER, lambda at=self.at: self._tell(at))
+        """By the core's own queue, in one turn between two events."""
+        began = 0.0
+
+        def parts() -> None:
+            nonlocal began
+            began = time.monotonic()
+            for commit in change.commits:
+                try:
+                    commit()
+                except Exception:  # a fault of one part of ours must not leave the others behind
+                    self.log.exception("fault in taking a new configuration")
+
+        def done() -> None:
+            change.in_force = True
+            self.config, self.version = change.config, change.version
+            self.last, self.why, self.at, self.before = "taken", "", time.monotonic(), self._counts()
+            self.since = time.time()
+            self.switch_s = self.at - began
+            self._held(self.switch_s)
+            self.loop.call_later(AFTER, lambda at=self.at: self._tell(at))
+            self.switched.set()
+
+        self.owner.post(Switched(parts, change.message, done))
 
     # ---- the kernel's link
     def _look(self) -> None:
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -106,6 +106,11 @@
     return str(path)
 
 
+def brought_into_force(worker, change):
+    worker.reloading._commit(change)
+    worker.owner.step()
+
+
 class Growth(unittest.TestCase):
     """Lines run in the longest step and in the switch, which must not grow with tenants or routes."""
 
@@ -139,7 +144,7 @@
                 ready = end.value
                 break
             longest = max(longest, lines)
-        counted(lambda: worker.reloading._commit(ready))
+        counted(lambda: brought_into_force(worker, ready))
         return worker, longest, lines
 
     def close(self, worker):
@@ -208,7 +213,7 @@
                 (range(6), {"b2": "t1", "b3": "t5"}, {"t1": "b2", "t5": "b3"}),  # back, by another budget
                 (range(6), {"b4": "t1", "b3": "t5"}, {"t1": "b4", "t5": "b3"})):  # budgets alone
             written(numbers, budgets)
-            worker.reloading._commit(at_once(worker.reloading._steps(False)))
+            brought_into_force(worker, at_once(worker.reloading._steps(False)))
             self.assertEqual(follow(), expected)
             self.assertEqual([t.name for t in module.s.tenants][:5], [f"t{n}" for n in range(5)])
             self.assertEqual(worker.owner.tenants["t0"], 0)
@@ -476,7 +481,7 @@
 
         def change(numbers):
             appliance(folder.name, numbers, 1)
-            reloading._commit(at_once(reloading._steps(False)))
+            brought_into_force(worker, at_once(reloading._steps(False)))
             return sorted(owner.tenants.gone)
 
         # Of those that go in one change, one more request may have been read: they stay until the next.
@@ -501,6 +506,7 @@
         self.addCleanup(Growth.close, self, self.worker)
         self.worker.owner.step()
         self.worker.owner.freeze()
+        self.worker.loop.spawn(self.worker.owner.run)
         appliance(folder.name, range(4), 1)
         self.worker.reloading.order()
 
