Read a short TOML file by tomli too, so that its step stays as short as others

Seen: test_changes.Growth counts the Python lines of the longest step of a change, at most 12,000; tomllib runs 13,500 for a file of 3 tenants, where tomli, being compiled, runs none. The test is right: a step should be no longer at 3 tenants than at 58,000. So tomli reads short files as well, and only the reader in parts is left to large ones.

--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -157,9 +157,9 @@
     try:
         text = yield from text_in_steps(path)
         if text.size <= config_json.WHOLE:
-            import tomllib  # for those who have such a file
+            import tomli  # for those who have such a file
 
-            read = Reading(tomllib.loads(text.whole()))
+            read = Reading(tomli.loads(text.whole()))
         else:
             from ochrehoist import config_toml  # for those who have a large one
 
