--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -12,12 +12,13 @@
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
-from stand_ins import PATIENCE, ProgramCase, settings, toml_file
+from stand_ins import MEMORY, PATIENCE, ProgramCase, settings, toml_file
 
 from ochrehoist import interface as i
 from ochrehoist.capture.records import Damage, Head, head_block, records, start, told
 from ochrehoist.config import load
 from ochrehoist.core.tenants import SPARE, changed, compact, first
+from ochrehoist.net.peers import FleetTenant
 from ochrehoist.peers import wire
 from ochrehoist.peers.counts import Ledger
 from ochrehoist.peers.wire import Life, Message
@@ -25,6 +26,28 @@
 from ochrehoist.sites.order import MOST_TOLD, Order
 from ochrehoist.worker import Worker
 
+OPENS_ONCE = '''
+import os, time
+from ochrehoist.store.journal import Journal
+opened = Journal._open
+def waits(self, longest):
+    while os.path.exists({!r}):
+        time.sleep(0.005)
+    return opened(self, longest)
+Journal._open = waits
+'''  # the disk does not answer as long as there is a file of this name
+RUNS_OUT = '''
+from ochrehoist import config
+whole, failed = config.load_in_steps, []
+def runs_out(*arguments, before=None, **more):
+    steps = whole(*arguments, before=before, **more)
+    if before is not None and not failed:
+        failed.append(next(steps, None))
+        yield
+        raise MemoryError
+    return (yield from steps)
+config.load_in_steps = runs_out
+'''  # in the middle of the first reading after the start
 NAMES = st.lists(st.integers(0, 12), unique=True, max_size=12)
 
 
@@ -70,7 +93,7 @@
             self.assertEqual(table.crowded, crowded, (stay, gone))
 
 
-def appliance(folder, numbers, routes, quota=1.0, **changes):
+def appliance(folder, numbers, routes, quota=1.0, peers=None, **changes):
     """A configuration with so many tenants and routes."""
     site = settings(Tenants=[{"Name": f"t{n}", "QuotaPerS": quota, "Fraction": 0.1} for n in numbers],
                     **changes)
@@ -78,7 +101,8 @@
     path = Path(folder, "ajp.toml")
     path.write_text(toml_file({
         "name": "n1", "settings": site, "overload": {},
-        "ajp": {"listen": "127.0.0.1:0", "rules": rules, "servers": [{"address": "127.0.0.1:9"}]}}))
+        "ajp": {"listen": "127.0.0.1:0", "rules": rules, "servers": [{"address": "127.0.0.1:9"}]}}
+        | ({"peers": peers} if peers else {})))
     return str(path)
 
 
@@ -158,6 +182,41 @@
 
 
 class Fleet(unittest.TestCase):
+    def test_only_tenants_with_a_budget_of_the_fleet_follow_it_over_changes_of_either(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+
+        def written(numbers, budgets):
+            peers = {"listen": "127.0.0.1:0", "group": "g", "secrets": ["sixteen characters"],
+                     "voters": ["n1"], "budgets": [{"name": name, "use": "tenant", "of": of, "amount": 8}
+                                                   for name, of in budgets.items()]}
+            return appliance(folder.name, numbers, 1, peers=peers)
+
+        path = written(range(5), {"b1": "t1"})
+        worker = Worker(load(path), path)
+        self.addCleanup(Growth.close, self, worker)
+        worker.owner.step()
+
+        def follow():
+            told = worker.owner.controller.s.tenants
+            return {t.name: t._budget for t in told if isinstance(t, FleetTenant)}
+
+        module = worker.owner.controller
+        self.assertEqual(follow(), {"t1": "b1"})
+        for numbers, budgets, expected in (
+                ((0, 2, 3, 4), {}, {}),  # both go: who is gone has the quota of the file for what is open
+                (range(6), {"b2": "t1", "b3": "t5"}, {"t1": "b2", "t5": "b3"}),  # back, by another budget
+                (range(6), {"b4": "t1", "b3": "t5"}, {"t1": "b4", "t5": "b3"})):  # budgets alone
+            written(numbers, budgets)
+            worker.reloading._commit(at_once(worker.reloading._steps(False)))
+            self.assertEqual(follow(), expected)
+            self.assertEqual([t.name for t in module.s.tenants][:5], [f"t{n}" for n in range(5)])
+            self.assertEqual(worker.owner.tenants["t0"], 0)
+        self.assertIs(worker.owner.controller, module)
+        self.assertEqual(worker.owner.tenants["t5"], 5)
+        for tenant in module.s.tenants:  # each can be asked: no budget that is gone is meant
+            self.assertGreaterEqual(tenant.quota_per_s, 0.0)
+
     def test_a_message_of_counts_fits_a_datagram_however_many_tenants_were_answered(self):
         ledgers = [Ledger(Life(f"n{n}", 1, n), 100.0) for n in range(6)]
         for ledger in ledgers:
@@ -301,6 +360,50 @@
         program.process.send_signal(signal.SIGTERM)
         self.assertEqual((program.ended(), files()), (0, 2))
 
+    def test_a_change_while_the_store_still_opens_is_in_force_and_what_is_on_record_is_known(self):
+        folder = tempfile.TemporaryDirectory(dir=MEMORY)
+        self.addCleanup(folder.cleanup)
+        state, shut = {"folder": str(Path(folder.name, "state"))}, Path(folder.name, "shut")
+        program = self.begin(state=state)
+        web = program.ajp()
+        self.ask(web, "acme")
+        program.server.next()[2](data=b"filed")
+        self.assertEqual(web.answer()[2], b"filed")
+        program.process.send_signal(signal.SIGTERM)
+        web.close()
+        self.assertEqual(program.ended(), 0)
+        shut.touch()
+        program = self.begin(state=state, fault=OPENS_ONCE.format(str(shut)))
+        said = program.reload("ajp.toml", self.change(program, {"other": 5.0}))
+        self.assertFalse(json.loads(program.operator()[1])["store"]["open"])
+        self.assertEqual(said["version"], self.configuration(program)["version"])
+        shut.unlink()
+        program.wait_for(lambda status: "'open': True" in status["store"])
+        web = program.ajp()
+        self.ask(web, "acme")  # gone, and on record
+        self.assertEqual(web.answer()[2], b"filed")
+        self.ask(web, "acme", key="new")
+        self.assertEqual(web.answer()[0], 400)
+        self.ask(web, "other")
+        program.server.next()[2](data=b"of the other")
+        self.assertEqual(web.answer()[2], b"of the other")
+
+    def test_a_reading_that_runs_out_of_memory_changes_nothing_is_told_of_and_can_be_ordered_again(self):
+        program = self.begin(fault=RUNS_OUT)
+        before = self.configuration(program)
+        web = program.ajp()
+        web.request(headers={"X-Tenant": "acme"})
+        program.process.send_signal(signal.SIGHUP)
+        program.wait_said("fault in a task")
+        after = self.configuration(program)
+        self.assertEqual((after["version"], after["last"], after["reading"]),
+                         (before["version"], "turned down", False))
+        self.assertEqual(program.figure("conf_invalid_total"), 1)
+        program.server.next()[2](data=b"as before")
+        self.assertEqual(web.answer()[2], b"as before")
+        said = program.reload("ajp.toml", self.change(program, {"other": 1.0}))
+        self.assertEqual(self.configuration(program)["version"], said["version"])
+
     def test_many_changes_leave_the_memory_as_it_was(self):
         program = self.begin()
         sizes = []
@@ -359,33 +462,88 @@
         self.assertEqual((configuration["version"], configuration["last"]), (version, "start"))
 
 
+class Crowded(unittest.TestCase):
+    def test_places_of_the_gone_are_given_up_but_for_those_with_a_filing_known(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = appliance(folder.name, range(SPARE + 50), 1)
+        worker = Worker(load(path), path)
+        self.addCleanup(Growth.close, self, worker)
+        owner, reloading = worker.owner, worker.reloading
+        owner.step()
+        owner.keys.started(("t40", "filing", "key"), "first", owner.clock() + 60 * 10**9, None)
+        module = owner.controller
+
+        def change(numbers):
+            appliance(folder.name, numbers, 1)
+            reloading._commit(at_once(reloading._steps(False)))
+            return sorted(owner.tenants.gone)
+
+        # Of those that go in one change, one more request may have been read: they stay until the next.
+        self.assertEqual(len(change(range(3))), SPARE + 47)
+        self.assertIsNot(owner.controller, module)
+        self.assertEqual(change(range(3)), ["t40"])
+        self.assertEqual([t.name for t in owner.controller.s.tenants], ["t0", "t1", "t2", "t40"])
+        module = owner.controller
+        self.assertEqual(change([0, 40]), ["t1", "t2"])  # few are gone: the module stays
+        self.assertIs(owner.controller, module)
+        self.assertEqual(owner.tenants["t40"], 3)
+
+
 class Standing(unittest.TestCase):
     """While the core's state is on its way to another process, which may still say no."""
 
-    def test_a_change_waits_until_that_is_over_and_is_then_in_force(self):
+    def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         path = appliance(folder.name, range(3), 1)
-        worker = Worker(load(path), path)
-        self.addCleanup(Growth.close, self, worker)
-        worker.owner.step()
-        worker.owner.freeze()
+        self.worker = Worker(load(path), path)
+        self.addCleanup(Growth.close, self, self.worker)
+        self.worker.owner.step()
+        self.worker.owner.freeze()
         appliance(folder.name, range(4), 1)
-        worker.reloading.order()
-        worker.loop.call_later(0.05, lambda: self.assertNotIn("t3", worker.owner.tenants))
-        worker.loop.call_later(0.05, worker.owner.thaw)
-        seen = []
+        self.worker.reloading.order()
+
+    def run_until(self, done):
+        """The loop; whether it was done in time."""
+        loop, seen = self.worker.loop, []
 
         def look():
-            if "t3" in worker.owner.tenants:
-                seen.append(worker.reloading.last)
-                return worker.loop.stop()
-            worker.loop.call_later(0.01, look)
-
-        worker.loop.call_later(0.06, look)
-        worker.loop.call_later(PATIENCE, worker.loop.stop)
-        worker.loop.run()
-        self.assertEqual(seen, ["taken"])
+            if done():
+                seen.append(True)
+                return loop.stop()
+            loop.call_later(0.01, look)
+
+        look()
+        loop.call_later(PATIENCE, loop.stop)
+        loop.run()
+        loop.stopped = False
+        return bool(seen)
+
+    def prepared(self):
+        """All that is left is the switch."""
+        rounds = []
+        self.assertTrue(self.run_until(lambda: rounds.append(1) or len(rounds) > 20))
+        self.assertEqual((self.worker.reloading.reading, len(self.worker.owner.tenants)), (True, 3))
+
+    def test_a_change_waits_until_that_is_over_and_is_then_in_force(self):
+        self.prepared()
+        self.worker.owner.thaw()
+        self.assertTrue(self.run_until(lambda: not self.worker.reloading.reading))
+        self.assertEqual((len(self.worker.owner.tenants), self.worker.reloading.last), (4, "taken"))
+
+    def test_once_the_other_process_decides_nothing_is_taken_and_no_order_kept(self):
+        self.prepared()
+        reloading, rounds = self.worker.reloading, []
+        reloading.order()  # one more, which came before
+        self.worker.owner.hand_over(lambda line: True, None)
+        self.assertTrue(self.run_until(lambda: not reloading.reading))
+        self.worker.loop.meter = lambda took, late: rounds.append(took)
+        until = time.monotonic() + 0.05
+        self.assertTrue(self.run_until(lambda: time.monotonic() > until))
+        self.assertLess(len(rounds), 100)  # it has nothing to do but what is looked at now and then
+        self.assertFalse(reloading.reading)
+        self.assertEqual((len(self.worker.owner.tenants), reloading.last), (3, "start"))
 
 
 if __name__ == "__main__":
