Compare what is asked during changes with as long a time without one, by turns

Need: on a busy machine what a client waits without any change has a p99 of up to some hundreds of ms, and hides what a change adds. After each change the client now goes on for as long without one.

--- a/benchmarks/changes.py
+++ b/benchmarks/changes.py
@@ -328,9 +328,11 @@
 
 def changes(worker: Appliance, client: Connection, prober: Prober,
             args: argparse.Namespace) -> dict[str, Any]:
-    """Changes one after the other; between two of them as long as the one before took, and 0.1 s."""
+    """Changes one after the other, and after each as long a time without one, to compare with."""
     forces, late, worsts, waited, kinds = [], [], [], [], Counter()
+    calm, calm_worsts = [], []
     for _ in range(args.changes):
+        began = time.monotonic()
         took = worker.change(prober)
         if took is None:
             break
@@ -342,9 +344,16 @@
         waited += told["waited"]
         worsts.append(max(told["waited"], default=0.0))
         kinds.update(told["kinds"])
+        time.sleep(time.monotonic() - began)
+        client.send("mark")
+        told = client.recv()
+        calm += told["waited"]
+        calm_worsts.append(max(told["waited"], default=0.0))
+        kinds.update(told["kinds"])
     status = worker.status()[1].get("configuration", {})
     return {"in_force_ms": quantiles(forces), "seen_late_by_ms": quantiles(late),
             "changing_ms": quantiles(waited), "worst_of_each_ms": quantiles(worsts),
+            "calm_ms": quantiles(calm), "worst_of_each_calm_ms": quantiles(calm_worsts),
             "changing_answers": dict(kinds), "changing_mb": worker.memory(), "configuration": status}
 
 
