Counts are told in parts of bounded bytes: many tenants no longer silence a worker

Seen: a group of 5 with 2,000 tenants answered raises ValueError at its first answers (31,023 bytes; 18,352 at 150 tenants); over sockets such an answer is not sent, and the worker looks dead to all. At 100 tenants each worker says 155 kB a second.

Cause: peers/counts.py `Ledger.to_tell` told the whole count of its own life and of four others in each answer of peers/group.py `_pinged`; wire.MOST is 16,384. News of members (12 statuses of any length) had no bound either.

Change: a question says which version of a book is whole and the key come to (`Ping.asked`), an answer goes on from there in at most 1,536 bytes (`Ack.parts`), only what changed; members' entries go first, up to 8,192. Parts merge by the greater count; a book is whole as of its earliest part; until then what is missing counts from the beginning of that life. Keys over 512 of a life, and long ones, are one `rest` (they were dropped); one kind of key leaves 64 to others. New fields are last: a member of before passes them over, and is told whole counts as far as 6,144 bytes go. A life called dead by mistake stayed `ended` in the counts for ever, so its bound was false: mended here.

--- a/ochrehoist/peers/group.py
+++ b/ochrehoist/peers/group.py
@@ -42,6 +42,7 @@
 
 KNOW = 24  # names of a ping whose news are asked for
 NEWS = 12  # entries of an answer
+ENTRIES_BYTES = 8192  # of its sender, its rumours and the news: the counts must find room beside them
 HELPERS = 3
 FRESH_S = 2.0  # that another's wish for a right counts
 HELLO_S = 0.2  # between two words to one that does not know this life
@@ -112,7 +113,7 @@
         self.members = Membership(
             life, terms.address, terms.site, self._others(terms), terms.period, now, seed
         )
-        self.ledger = Ledger(life, terms.most_per_s)
+        self.ledger = Ledger(life, terms.most_per_s, now)
         self.judge = Judge(terms.services, terms.most_out, seed)
         self.judge.hearsay = self.hearsay
         self.judge.fleet = self._size
@@ -214,6 +215,9 @@
             if m.state in (DEAD, LEFT) and m.life not in self.ended_at:
                 self.ended_at[m.life] = m.since
                 self.ledger.end(m.life)
+            elif m.state in (ALIVE, SUSPECT) and m.life in self.ended_at:  # it was called dead, and is there
+                del self.ended_at[m.life]
+                self.ledger.go_on(m.life)
         current = {m.life.name: m.life for m in self.members.members.values()}
         for life, book in self.ledger.books.items():
             if not book.ended and life.name in current and current[life.name].follows(life):
@@ -254,7 +258,8 @@
         members = self.members.members
         names = list(members) if len(members) <= KNOW else self.rng.sample(list(members), KNOW)
         know = [(n, members[n].life.inc, members[n].version) for n in names]
-        return Ping(nonce, know, self.members.to_tell(now, self._me(), to))
+        asks = self.ledger.asks(to, self.members.incarnation_of(to))
+        return Ping(nonce, know, self.members.to_tell(now, self._me(), to), asks)
 
     def _to(self, name: str, items: list[Item]) -> list[Send]:
         address = self.members.address_of(name)
@@ -343,11 +348,19 @@
                 news.append(m)
         if len(news) > NEWS:
             news = self.rng.sample(news, NEWS)
-        entries += [m.entry(now) for m in news]
-        tallies = self.ledger.to_tell(now) if self.members.established else []
-        return self._to(
-            sender.name, [Ack(item.nonce, "", entries, self.members.to_tell(now, self._me()), tallies)]
-        )
+        rumours = self.members.to_tell(now, self._me())
+        room = ENTRIES_BYTES - sum(e.size() for e in (*entries, *rumours))
+        for e in (m.entry(now) for m in news):
+            room -= e.size()
+            if room < 0:
+                break
+            entries.append(e)
+        ack = Ack(item.nonce, "", entries, rumours)
+        if self.members.established and item.asked is None:
+            ack.tallies = self.ledger.whole(now)
+        elif self.members.established:
+            ack.parts = self.ledger.to_tell(item.asked, now)
+        return self._to(sender.name, [ack])
 
     def _acked(self, item: Ack, sender: Life, now: float) -> list[Send]:
         for e in item.rumours:
@@ -369,9 +382,15 @@
                 self.members.rumour(e, sender.name, now)
             self.members.learn(e, lag, now)
         for t in item.tallies:
-            self.ledger.learn(t, lag, now)
+            self.ledger.learn(t, lag, now, self._is_here(t.life))
+        for p in item.parts:
+            self.ledger.learn_part(p, lag, now, self._is_here(p.life))
         return []
 
+    def _is_here(self, life: Life) -> bool:
+        m = self.members.members.get(life.name)
+        return m is not None and m.life == life and m.state in (ALIVE, SUSPECT)
+
     def _asked(self, item: Ask, sender: Life, now: float) -> list[Send]:
         nonce = self.rng.getrandbits(62) | 1
         self.helping[nonce] = sender.name, item.nonce, item.name
--- a/ochrehoist/peers/wire.py
+++ b/ochrehoist/peers/wire.py
@@ -45,6 +45,10 @@
     status: bytes = b""  # a Status, as its owner encoded it
     refutations: int = 0  # last: a member of before this field passes it over, and what it tells has 0
 
+    def size(self) -> int:
+        """In a message, at the most."""
+        return 64 + len(self.status) + sum(len(s.encode()) for s in (self.life.name, self.address, self.site))
+
 
 class Evidence(msgspec.Struct, array_like=True):
     """What one worker has seen itself of a service below."""
@@ -83,10 +87,35 @@
     counts: dict[str, int]
 
 
+class Asked(msgspec.Struct, array_like=True):
+    """How far the counts of a life are known: all of this version, and a later one up to the key `after`."""
+
+    name: str
+    inc: int
+    since: int
+    after: str
+
+
+class Part(msgspec.Struct, array_like=True):
+    """Of the counts of one life all that changed since a version, of keys behind `after` up to `upto` (empty:
+    from the first, to the last). It was so at `version`, which was there `age_ms` ago or later."""
+
+    life: Life
+    since: int
+    after: str
+    upto: str
+    version: int
+    age_ms: int
+    ended: bool
+    born_ms: int  # ago at the most it had counted nothing; -1: unknown
+    counts: dict[str, int]
+
+
 class Ping(msgspec.Struct, tag="p", array_like=True):
     nonce: int
     know: list[tuple[str, int, int]] = []  # some names, with incarnation and version
     rumours: list[Entry] = []
+    asked: list[Asked] | None = None  # None: of a member that takes whole counts alone
 
 
 class Ack(msgspec.Struct, tag="a", array_like=True):
@@ -96,7 +125,8 @@
     of: str = ""
     entries: list[Entry] = []
     rumours: list[Entry] = []
-    tallies: list[Tally] = []
+    tallies: list[Tally] = []  # for a member of before `parts`
+    parts: list[Part] = []
 
 
 class Ask(msgspec.Struct, tag="q", array_like=True):
--- /dev/null
+++ b/tests/test_peers_counts.py
@@ -0,0 +1,342 @@
+"""Counts told in parts: bounded bytes, whole books within a stated time, bounds that hold meanwhile."""
+
+import math
+import unittest
+from random import Random
+from unittest import mock
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ochrehoist.lab.virtual import World
+from ochrehoist.peers import counts, group, wire
+from ochrehoist.peers.counts import MOST_KEY, MOST_KEYS, OWN_BYTES, REST, TOLD_BYTES, WHOLE_BYTES, Ledger
+from ochrehoist.peers.group import Group, Terms
+from ochrehoist.peers.members import ALIVE, DEAD
+from ochrehoist.peers.rights import DRIFT
+from ochrehoist.peers.wire import Ack, Asked, Entry, Hello, Life, Message, Part, Ping, Tally
+
+A, B, C = (Life(name, 10, 1) for name in "abc")
+encode = msgspec.msgpack.encode
+
+
+def filled(life, keys, n=1, born=0.0, long=0):
+    ledger = Ledger(life, 100.0, born)
+    for k in range(keys):
+        ledger.add(f"tenant/{'x' * long}{k:05d}/served", n)
+    return ledger
+
+
+def answer(teller, asker, now, lag=0.0):
+    """One question, its answer, and what the asker takes of it."""
+    parts = teller.to_tell(asker.asks(teller.life.name, teller.life.inc), now - lag)
+    for p in parts:
+        asker.learn_part(p, lag, now)
+    return parts
+
+
+def parts_of(ledger):
+    """Answers in which the whole of it is told, as the page states it."""
+    keys = [len(k.encode()) for k in ledger.own]
+    longest = max(keys)
+    return math.ceil(sum(k + 12 for k in keys) / (OWN_BYTES - 72 - len(ledger.life.name) - 3 * longest - 24))
+
+
+class Parts(unittest.TestCase):
+    def test_what_an_answer_tells_is_bounded_however_much_there_is(self):
+        for keys, long in ((1, 0), (100, 0), (2000, 0), (2000, 130), (2000, 10_000)):
+            with self.subTest(keys=keys, long=long):
+                teller, asker = filled(A, keys, 2**50, long=long), Ledger(B, 100.0, 0.0)
+                for n in range(20):
+                    other = filled(Life(f"m{n}", 1, 2**60), keys, 2**50, long=long)
+                    for _ in range(60):
+                        answer(other, teller, 1.0)
+                for _ in range(200):
+                    self.assertLessEqual(len(encode(answer(teller, asker, 2.0))), TOLD_BYTES)
+                self.assertEqual(asker.books[A].counts, dict(teller.own))
+
+    def test_all_of_it_is_there_after_as_many_answers_as_is_stated(self):
+        for keys in (1, 60, 100, 500, 2000):
+            with self.subTest(keys=keys):
+                teller, asker = filled(A, keys), Ledger(B, 100.0, 0.0)
+                for _ in range(parts_of(teller)):
+                    self.assertNotEqual(asker.books[A].told_at if A in asker.books else None, 5.0)
+                    answer(teller, asker, 5.0)
+                self.assertEqual((asker.books[A].told_at, asker.books[A].version), (5.0, teller.version))
+                self.assertEqual(asker.books[A].counts, dict(teller.own))
+
+    def test_only_what_has_changed_is_told_again(self):
+        teller, asker = filled(A, 500), Ledger(B, 100.0, 0.0)
+        while answer(teller, asker, 5.0)[0].upto:
+            pass
+        self.assertEqual(answer(teller, asker, 6.0)[0].counts, {})
+        teller.add("tenant/00400/served", 3)
+        self.assertEqual(answer(teller, asker, 7.0)[0].counts, {"tenant/00400/served": 4})
+        self.assertEqual((asker.books[A].told_at, asker.begun), (7.0, {}))
+
+    def test_while_parts_are_missing_the_bound_counts_from_the_beginning_of_that_life(self):
+        teller, asker = filled(A, 500, born=1.0), Ledger(B, 100.0, 0.0)
+        part = answer(teller, asker, 6.0)[0]
+        self.assertTrue(part.upto)
+        r = asker.read("tenant/00499/served", 6.0)
+        self.assertEqual(r.total, 0)
+        self.assertGreaterEqual(r.missing, 500)  # five seconds at 100
+        self.assertLessEqual(r.missing, 500 * (1 + DRIFT) + 2)  # clocks may differ by that
+
+    def test_one_whose_beginning_is_unknown_is_read_only_once_all_of_it_came(self):
+        teller, asker = filled(A, 500, born=None), Ledger(B, 100.0, 0.0)
+        while answer(teller, asker, 6.0)[0].upto:
+            self.assertEqual(asker.read("tenant/00000/served", 6.0).total, 0)
+        self.assertEqual(asker.read("tenant/00000/served", 6.0).total, 1)
+
+    def test_a_part_that_leaves_out_what_is_not_here_makes_nothing_whole(self):
+        asker = Ledger(B, 100.0, 0.0)
+        asker.learn_part(Part(A, 7, "", "", 9, 0, False, 5000, {"k": 3}), 0.0, 5.0)
+        self.assertEqual((asker.books[A].version, asker.books[A].told_at), (0, 5.0 - 5.0 * (1 + DRIFT)))
+        self.assertEqual(asker.read("k", 5.0).total, 3)
+
+    def test_parts_of_several_versions_make_the_earliest_whole(self):
+        asker = Ledger(B, 100.0, 0.0)
+        asker.learn_part(Part(A, 0, "", "k", 9, 0, False, 5000, {"k": 3}), 0.0, 5.0)
+        asker.learn_part(Part(A, 0, "k", "", 8, 0, False, 5000, {"m": 1}), 0.0, 5.0)
+        self.assertEqual((asker.books[A].come_to, asker.books[A].version), ("", 8))
+        asker.learn_part(Part(A, 8, "", "k", 10, 0, False, 6000, {"k": 4}), 0.0, 6.0)
+        for version, after in ((8, "k"), (12, "j"), (12, "")):  # not newer; not from where it has come to
+            asker.learn_part(Part(A, 8, after, "z", version, 0, False, 6000, {}), 0.0, 6.0)
+        self.assertEqual((asker.books[A].come_to, asker.books[A].version), ("k", 8))
+        asker.learn_part(Part(A, 8, "k", "", 12, 0, False, 7000, {"m": 2}), 0.0, 7.0)
+        self.assertEqual((asker.books[A].version, asker.books[A].told_at), (10, 6.0))
+        self.assertEqual(asker.books[A].counts, {"k": 4, "m": 2})
+
+    def test_one_that_nobody_can_tell_to_its_end_does_not_keep_others_from_being_asked_for(self):
+        asker, lives = Ledger(B, 100.0, 0.0), [Life(f"m{n}", 1, 1) for n in range(9)]
+        for life in lives:
+            asker.learn_part(Part(life, 0, "", "", 1, 0, False, 5000, {"k": 1}), 0.0, 5.0)
+        asker.learn_part(Part(lives[0], 1, "", "k", 9, 0, False, 5000, {"k": 3}), 0.0, 5.0)
+        asked = {a.name for _ in range(20) for a in asker.asks("b2", 1)}
+        self.assertEqual(asked, {"b2", *(life.name for life in lives)})
+
+    def test_a_life_that_ended_is_told_by_others_in_parts_also_beside_a_large_own_one(self):
+        gone, teller, asker = filled(C, 300), filled(A, 2000), Ledger(B, 100.0, 0.0)
+        while answer(gone, teller, 1.0)[0].upto:
+            pass
+        teller.end(C)
+        for _ in range(200):
+            answer(teller, asker, 2.0)
+        self.assertEqual(asker.books[C].counts, dict(gone.own))
+        self.assertTrue(asker.books[C].ended)
+        self.assertEqual(asker.begun, {})
+
+    def test_keys_over_the_most_are_told_as_one_rest_and_leave_room_for_other_kinds(self):
+        ledger = filled(A, 5000, 2)
+        for n in range(40):
+            ledger.add(f"class/c{n}/served", 1)
+        self.assertEqual(len(ledger.own), MOST_KEYS - counts.SPARED + 1 + 40)
+        self.assertEqual(sum(ledger.own.values()), 10_040)
+        self.assertEqual(ledger.own[REST], 2 * (5000 - MOST_KEYS + counts.SPARED))
+        for n in range(500):
+            ledger.add(f"kind{n}/served", 1)
+        self.assertEqual(len(ledger.own), MOST_KEYS)
+        self.assertEqual(sum(ledger.own.values()), 10_540)
+        other = Ledger(B, 100.0, 0.0)
+        other.add("x" * (MOST_KEY + 1))
+        other.add("")
+        self.assertEqual(other.own, {REST: 2})
+
+    @settings(deadline=None, max_examples=150)
+    @given(st.integers(0, 2**32), st.sampled_from((0.0, 0.3, 0.7)))
+    def test_the_truth_is_within_the_bound_whatever_is_lost_late_or_repeated(self, seed, loss):
+        """Three and a late one count and ask each other; answers are lost, late, out of order, repeated."""
+        rng, now, true = Random(seed), 0.0, {}
+        keys = [f"kind/{n:03d}/{'x' * rng.randint(0, 60)}" for n in range(rng.choice((3, 40, 120)))]
+        ledgers, late = [Ledger(Life(f"m{n}", 1, 1), 20.0, 0.0) for n in range(3)], []
+
+        def check(key):
+            for ledger in ledgers:
+                r = ledger.read(key, now)
+                known = {ledger.life, *ledger.books}
+                truth = sum(n for (life, k), n in true.items() if k == key and life in known)
+                self.assertLessEqual(r.total, truth)
+                self.assertLessEqual(truth, r.total + r.missing + r.untold)
+
+        for step in range(120):
+            now += 0.5
+            if step == 60:
+                ledgers.append(Ledger(Life("m3", 1, 1), 20.0, now))
+            for ledger in ledgers:
+                for _ in range(rng.randint(0, 10)):  # within its most
+                    key = rng.choice(keys)
+                    ledger.add(key)
+                    true[ledger.life, key] = true.get((ledger.life, key), 0) + 1
+            teller, asker = rng.sample(ledgers, 2)
+            asked = asker.asks(teller.life.name, teller.life.inc)
+            late.append((asker, teller.to_tell(asked, now), now))
+            rng.shuffle(late)
+            for entry in late[:]:
+                to, parts, at = entry
+                if rng.random() >= loss:
+                    for p in parts:
+                        to.learn_part(p, now - at, now)
+                if rng.random() < 0.8:
+                    late.remove(entry)
+            check(rng.choice(keys))
+        for _ in range(300):  # quiet: all is told
+            now += 0.1
+            answer(*rng.sample(ledgers, 2), now)
+        for key in keys:
+            check(key)
+            total = sum(n for (_, k), n in true.items() if k == key)
+            self.assertEqual({ledger.read(key, now).total for ledger in ledgers}, {total})
+
+
+class PingOfBefore(msgspec.Struct, tag="p", array_like=True):
+    nonce: int
+    know: list[tuple[str, int, int]] = []
+    rumours: list[Entry] = []
+
+
+class AckOfBefore(msgspec.Struct, tag="a", array_like=True):
+    nonce: int
+    of: str = ""
+    entries: list[Entry] = []
+    rumours: list[Entry] = []
+    tallies: list[Tally] = []
+
+
+class Mixed(unittest.TestCase):
+    """During a rolling update members of before parts are in the group."""
+
+    def test_members_of_before_read_what_they_get_and_are_read(self):
+        ping = encode(Ping(5, [("c", 1, 2)], [], [Asked("b", 1, 2, "k")]))
+        self.assertEqual(msgspec.msgpack.decode(ping, type=PingOfBefore), PingOfBefore(5, [("c", 1, 2)], []))
+        self.assertIsNone(msgspec.msgpack.decode(encode(PingOfBefore(5)), type=Ping).asked)
+        ack = encode(Ack(5, parts=[Part(A, 0, "", "", 1, 0, False, 0, {"k": 1})]))
+        self.assertEqual(msgspec.msgpack.decode(ack, type=AckOfBefore), AckOfBefore(5))
+        back = msgspec.msgpack.decode(encode(AckOfBefore(5, tallies=[Tally(A, 1, 0, False, {})])), type=Ack)
+        self.assertEqual((back.parts, back.tallies[0].life), ([], A))
+
+    def test_one_of_before_gets_whole_counts_or_none_and_never_a_part(self):
+        for keys, told in ((3, True), (100, True), (300, False), (2000, False)):
+            with self.subTest(keys=keys):
+                teller = filled(A, keys)
+                for n in range(6):
+                    teller.learn(Tally(Life(f"m{n}", 1, 1), 3, 0, False, {f"k{i}": 1 for i in range(keys)})
+                                 if keys <= MOST_KEYS else Tally(B, 1, 0, False, {}), 0.0, 1.0)
+                for _ in range(10):
+                    tallies = teller.whole(1.0)
+                    self.assertLessEqual(len(encode(tallies)), WHOLE_BYTES)
+                    self.assertEqual(told, any(t.life == A for t in tallies))
+                    for t in tallies:
+                        self.assertEqual(t.counts, dict(teller.own) if t.life == A else
+                                         teller.books[t.life].counts)
+
+    def test_of_a_book_that_parts_have_begun_to_renew_none_of_before_is_told(self):
+        teller, asker = filled(A, 100), Ledger(B, 100.0, 0.0)
+        self.assertTrue(answer(teller, asker, 1.0)[0].upto)
+        self.assertEqual([t.life for t in asker.whole(1.0)], [B])
+
+    def test_whole_counts_of_before_and_parts_go_together(self):
+        teller, asker = filled(A, 100), Ledger(B, 100.0, 0.0)
+        asker.learn(Tally(A, teller.version, 0, False, dict(teller.own)), 0.0, 1.0)
+        teller.add("tenant/00003/served")
+        self.assertEqual(answer(teller, asker, 2.0)[0].counts, {"tenant/00003/served": 2})
+        asker.learn(Tally(A, 3, 0, False, {"tenant/00003/served": 1}), 0.0, 2.0)  # late
+        self.assertEqual(asker.read("tenant/00003/served", 2.0).total, 2)
+
+
+class Answers(unittest.TestCase):
+    """Whole groups on virtual time, each message encoded: one that is too long breaks the run."""
+
+    def fleet(self, count, tenants, loss=0.0):
+        w = World(1, (), encoded=True, most_per_s=20_000.0)
+        nodes = w.fleet(count)
+        w.run(4.0)
+        w.weather(loss, 0.1 if loss else 0.0, (0.0002, 0.002))
+        for node in nodes:
+            for t in range(tenants):
+                node.group.ledger.add(f"tenant/customer-{t:05d}/served")
+        return w, nodes
+
+    def whole(self, w, nodes, total):
+        return all(sum(n.group.ledger.read(k, n.clock(w.now)).total for k in nodes[0].group.ledger.keys())
+                   == total and not n.group.ledger.begun for n in nodes)
+
+    def test_with_many_tenants_all_stay_alive_and_all_counts_come_in_the_stated_time(self):
+        for count, tenants, loss in ((5, 100, 0.0), (5, 2000, 0.0), (5, 2000, 0.2), (12, 100, 0.0)):
+            with self.subTest(count=count, tenants=tenants, loss=loss):
+                w, nodes = self.fleet(count, tenants, loss)
+                began, rounds = w.now, (2 + parts_of(nodes[0].group.ledger)) * (3 if loss else 1)
+                within = rounds * (count - 1) * w.period * 1.25  # a probe waits for a beat
+                while not self.whole(w, nodes, count * tenants):
+                    self.assertLess(w.now - began, within)
+                    w.run(w.now + 0.5)
+                self.assertEqual({m.state for n in nodes for m in n.group.members.members.values()}, {ALIVE})
+
+    def test_messages_do_not_grow_with_tenants_and_bytes_only_up_to_the_bound(self):
+        sent = {}
+        for tenants in (3, 100, 2000):
+            w, nodes = self.fleet(5, tenants)
+            for _ in range(40):  # each tenant has answers all the time
+                for node in nodes:
+                    for t in range(tenants):
+                        node.group.ledger.add(f"tenant/customer-{t:05d}/served")
+                w.run(w.now + 0.1)
+            began = [(n.sent, n.bytes_out) for n in nodes]
+            w.run(w.now + 4.0)
+            sent[tenants] = tuple(sum(x[i] for x in [(n.sent, n.bytes_out) for n in nodes]) -
+                                  sum(b[i] for b in began) for i in (0, 1))
+        for tenants in (100, 2000):
+            self.assertLessEqual(sent[tenants][0], 1.05 * sent[3][0])
+            answers = sent[3][0] / 2
+            self.assertLessEqual(sent[tenants][1], sent[3][1] + answers * TOLD_BYTES)
+
+    def test_it_is_red_where_an_answer_tells_all(self):
+        with mock.patch.multiple(counts, OWN_BYTES=10**6, MOST_KEYS=2100), \
+                self.assertRaisesRegex(ValueError, "a message of"):
+            w, _ = self.fleet(5, 2000)
+            w.run(w.now + 3.0)
+
+    def test_an_answer_finds_room_whatever_is_told_of_members(self):
+        terms = Terms("g", "at:a", "", {}, (), 0.1, (), (), 0.5, 100.0)
+        g = Group(terms, A, 0.0, 1)
+        g.members.established = True
+        for t in range(2000):
+            g.ledger.add(f"tenant/{t:05d}/served")
+        for n in range(40):
+            life = Life(f"m{n}", 1, 1)
+            g.members.met(life, f"at:m{n}", "", 0.0)
+            g.members.learn(Entry(life, f"at:m{n}", "", ALIVE, 5, 0, b"x" * 3000), 0.0, 0.0)
+        for asked in (None, [Asked("a", 10, 0, "")]):
+            m = Message("g", Life("m1", 1, 1), "a", 10, 1 + (asked is None),
+                        [Hello("at:m1", ""), Ping(7, [], [], asked)])
+            sends = g.took(m, "at:m1", 1.0)
+            ack = sends[0].items[-1]
+            self.assertGreater(len(ack.entries), 2)
+            self.assertEqual(bool(ack.parts), asked is not None)
+            wire.packed(Message("g", A, "m1", 1, 1, sends[0].items), b"a secret")
+        with mock.patch.object(group, "ENTRIES_BYTES", 10**6):
+            sends = g.took(Message("g", Life("m1", 1, 1), "a", 10, 3, [Ping(7, [], [], None)]), "at:m1", 1.0)
+            with self.assertRaises(ValueError):
+                wire.packed(Message("g", A, "m1", 1, 1, sends[0].items), b"a secret")
+
+    def test_what_one_called_dead_and_back_counts_is_bounded_again(self):
+        w, nodes = self.fleet(5, 3)
+        w.run(8.0)
+        w.pause(nodes[1], 8.0)
+        life = nodes[1].group.life
+        w.run(15.0)
+        self.assertEqual(nodes[0].group.members.members["w001"].state, DEAD)
+        w.run(22.0)
+        for node in [n for n in nodes if n is not nodes[1]]:
+            self.assertEqual(node.group.members.members["w001"].state, ALIVE)
+            self.assertNotIn(life, node.group.ended_at)
+            self.assertFalse(node.group.ledger.books[life].ended)
+        nodes[1].group.ledger.add("tenant/customer-00000/served", 4)
+        r = nodes[0].group.ledger.read("tenant/customer-00000/served", nodes[0].clock(w.now),
+                                       nodes[0].group.ended_at)
+        self.assertLessEqual(9, r.total + r.missing)
+
+
+if __name__ == "__main__":
+    unittest.main()
