--- a/ochrehoist/config.py
+++ b/ochrehoist/config.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from ochrehoist import config_json
-from ochrehoist.config_source import Kept, Source, Text, joined, text_in_steps
+from ochrehoist.config_source import Kept, Reading, Source, Text, joined, text_in_steps
 from ochrehoist.config_types import (
     CONTROLLERS,
     ON_LOSS,
@@ -56,12 +56,13 @@
     """Makes the elements of `ajp.rules`; one that is as before comes back as the same object."""
 
     def __init__(self, before: tuple[AjpRule, ...]) -> None:
-        self.before, self.known, self.methods = before, {}, {}
+        self.before, self.methods = before, {}
+        self.known: dict[str, int] = {}  # places; such a dict is nothing to the collector
 
     def know_in_steps(self) -> Steps:
         for at, rule in enumerate(self.before):
-            self.known[rule.uri, rule.methods, rule.kind] = rule
-            self.methods[rule.methods] = rule.methods
+            some = self.methods.setdefault(rule.methods, rule.methods)  # few sets for many rules
+            self.known[self._key(rule.uri, some, rule.kind)] = at
             if not (at + 1) % STEP:
                 yield
 
@@ -84,8 +85,13 @@
         if not uri.startswith("/"):
             raise BadInput(f"setting {rule.path}uri: does not start with /: {uri!r}")
         some = frozenset(m.upper() for m in methods)
-        some = self.methods.setdefault(some, some)  # few sets for many rules
-        return self.known.get((uri, some, kind)) or AjpRule(uri, some, kind)
+        some = self.methods.setdefault(some, some)
+        at = self.known.get(self._key(uri, some, kind))
+        return AjpRule(uri, some, kind) if at is None else self.before[at]
+
+    @staticmethod
+    def _key(uri: str, methods: frozenset[str], kind: str) -> str:
+        return f"{id(methods)} {len(uri)} {uri}{kind}"
 
     def all_in_steps(self, r: Reader, settings: Settings) -> Generator[None, None, tuple[AjpRule, ...]]:
         """All of them. Raises BadInput."""
@@ -147,12 +153,20 @@
 
 def _toml(path: str, key: str, rules: _Rules, tenants: Tenants, before: Source | None) -> Steps:
     """The file's data, its source, what its lines are, and the digest of its text."""
-    from ochrehoist import config_toml  # its library is for those who have such a file
-
     yield from rules.know_in_steps()
     try:
         text = yield from text_in_steps(path)
-        read = yield from config_toml.read_in_steps(text, {TENANTS: tenants.take, RULES: rules.take}, before)
+        if text.size <= config_json.WHOLE:
+            import tomllib  # for those who have such a file
+
+            read = Reading(tomllib.loads(text.whole()))
+        else:
+            from ochrehoist import config_toml  # for those who have a large one
+
+            read = yield from config_toml.read_in_steps(
+                text, {TENANTS: tenants.take, RULES: rules.take}, before)
+    except RecursionError:
+        raise BadInput(f"setting {key}: {path}: nested too deeply") from None
     except (OSError, ValueError) as error:
         raise BadInput(f"setting {key}: {path}: {error}") from None
     top = only(Reader(read.data, ""), "name", "stop_ms", "limits", "admin", "ajp", "console", "state",
@@ -280,7 +294,7 @@
 def _json_source(data: dict[str, Any], text: Text, settings: Settings) -> Source | None:
     if text.size <= config_json.WHOLE or "Tenants" not in data["settings"]:
         return None
-    return Source(text.digest, joined(data, {TENANTS: []}), {TENANTS: Kept(settings.tenants)})
+    return Source(text.digest, joined(data, {TENANTS: []}), b"", {TENANTS: Kept(settings.tenants)})
 
 
 def _version(*digests: bytes) -> str:
--- a/ochrehoist/config_source.py
+++ b/ochrehoist/config_source.py
@@ -15,7 +15,7 @@
 TRIES = 5  # at a file that changes while it is read
 
 
-Stretches = dict[bytes, tuple[int, int]]  # which elements a piece of text gave: the first and the number
+Stretches = dict[bytes, range]  # which elements a piece of text gave; ranges are nothing to the collector
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,9 +32,28 @@
 
     digest: bytes
     rest: Mapping[str, Any]  # all but the arrays in `kept`
+    rest_digest: bytes  # of its text; of JSON there is none
     kept: Mapping[Path, Kept]
 
 
+@dataclass(slots=True)
+class Reading:
+    """A file read."""
+
+    data: dict[str, Any]  # as a plain reading gives it, but a range stands for elements of before
+    rest: Mapping[str, Any] | None = None  # without those arrays; None: all was read as a whole
+    rest_digest: bytes = b""
+    stretches: Mapping[Path, Stretches] = field(default_factory=dict)
+    lines: Mapping[Path, Sequence[int]] = field(default_factory=dict)  # of the elements
+
+    def source(self, digest: bytes, elements: Mapping[Path, Sequence[Any]]) -> Source | None:
+        """What the next reading may know. `elements`: the arrays as they were taken."""
+        if self.rest is None:
+            return None
+        return Source(digest, self.rest, self.rest_digest,
+                      {path: Kept(elements[path], stretches) for path, stretches in self.stretches.items()})
+
+
 class Text:
     """A file's text in parts, its newlines all as \\n, with the digest of its bytes."""
 
@@ -71,16 +90,18 @@
     for _ in range(TRIES):
         with open(path, "rb", buffering=0) as file:
             before = os.fstat(file.fileno())
-            text = yield from _parts(file)
+            regular = stat.S_ISREG(before.st_mode)
+            text = yield from _parts(file, before.st_size if regular else None)
             after = os.fstat(file.fileno())
-        if not stat.S_ISREG(before.st_mode) or _mark(before) == _mark(after) == _mark(os.stat(path)):
+        if not regular or _mark(before) == _mark(after) == _mark(os.stat(path)):
             if isinstance(text, ValueError):  # only now: it may have been half of a change
                 raise text
             return text
     raise ValueError("changes while it is read")
 
 
-def _parts(file: io.FileIO) -> Generator[None, None, Text | ValueError]:
+def _parts(file: io.FileIO, size: int | None) -> Generator[None, None, Text | ValueError]:
+    """Of one that grows beyond its size no more is read."""
     text, digest, lines = Text(), sha256(), 1
     decoder = io.IncrementalNewlineDecoder(codecs.getincrementaldecoder("utf-8")(), translate=True)
     while True:
@@ -94,7 +115,7 @@
         lines += part.count("\n")
         text.parts.append(part)
         text.size += len(data)
-        if not data:
+        if not data or size is not None and text.size > size:
             text.digest = digest.digest()
             return text
         if text.size > WHOLE:
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -85,15 +85,13 @@
 class ThriftReader:
     """Reads the arguments of an invoke call into a core request."""
 
-    def __init__(self, settings: Settings, executor: Executor) -> None:
-        self.executor = executor
+    def __init__(self, owner: Owner, executor: Executor) -> None:
+        self.owner, self.executor = owner, executor
         self.classes: dict[str, RequestClass] = {}  # also those that are gone: the core answers them
-        self.tenants: set[str] = set()
-        self.configure(settings)
+        self.configure(owner.settings)
 
     def configure(self, settings: Settings) -> None:
         self.classes.update((c.name, c) for c in settings.classes)
-        self.tenants.update(t.name for t in settings.tenants)
 
     def request(self, values: dict[bytes, bytes], body: bytes, responder: "ThriftResponder") -> Inbound:
         f = Fields(values)
@@ -103,8 +101,9 @@
             raise thrift.BadArguments("field method: unknown class")
         if len(rid) != 16 or not HEX.issuperset(rid):
             raise thrift.BadArguments("field rid: not 16 hex digits")
-        acct = f.text("acct", required=bool(self.tenants))
-        if acct is not None and acct not in self.tenants:
+        tenants = self.owner.tenants
+        acct = f.text("acct", required=bool(tenants.places))
+        if acct is not None and not tenants.known(acct):  # one that is gone may repeat a filing that ran
             raise thrift.BadArguments("field acct: unknown tenant")
         keyed = cls.repeat is Repeat.KEYED
         token = f.text("token", required=keyed)
@@ -176,6 +175,11 @@
         self.pace = Pace(front.loop)
         stream.on_close = lambda: front.closed(self)
 
+    @property
+    def known(self) -> bool:
+        """Whether it has asked for something, also where all of it was taken back and needed no answer."""
+        return self.answered or self.calls > 0
+
     def run(self) -> None:
         try:
             while True:
@@ -225,7 +229,7 @@
             del buffer[:4 + size]
             return frame
         # A new connection has no more than its first moments for what it has begun.
-        until = (time.monotonic() if self.answered else self.opened) + WHOLE
+        until = (time.monotonic() if self.known else self.opened) + WHOLE
         size = int.from_bytes(self.stream.take(4, until - time.monotonic()), "big")
         if size > MAX_FRAME:
             raise thrift.BadFrame("frame too long")
@@ -332,7 +336,7 @@
     def __init__(self, loop: Loop, owner: Owner, executor: Executor, address: tuple[str, int],
                  max_connections: int, max_unsent: int, log: Any, sock: socket.socket | None = None) -> None:
         self.loop, self.owner, self.log = loop, owner, log
-        self.reader = ThriftReader(owner.settings, executor)
+        self.reader = ThriftReader(owner, executor)
         self.connections: set[Connection] = set()
         self.max_unsent = max_unsent  # bytes of all answers that are not taken yet
         self.draining = False
@@ -412,9 +416,11 @@
             if c.farewelled is not None:
                 if now - max(c.farewelled, used_at) > LINGER and not c.stream.look():
                     c.stream.close_when_sent()
-            elif not c.answered and now - c.opened > WHOLE:
+            elif not c.known and now - c.opened > WHOLE:
                 if not c.stream.look():
                     c.stream.close()  # nothing that could be answered came: nobody waits for anything here
+            elif c.known and not c.answered and idle > LINGER and now - c.opened > WHOLE - LINGER:
+                c.farewell()  # all was taken back: the next request may be on its way
             elif not c.checks_only and (idle > self.idle > 0 or (crowded and c.calls <= 1 and idle > ONCE)):
                 c.farewell()
         if self.bad_frames and now - self.logged > 1:  # one line for all: a flood must not fill the log
--- a/ochrehoist/peers/counts.py
+++ b/ochrehoist/peers/counts.py
@@ -17,12 +17,15 @@
 LIVES = 16  # of one name whose counts are kept apart; older ones are added up
 MOST_KEYS = 512  # of one life; what is over it is counted as `REST`
 REST = "rest"
-SPARED = 64  # of them that one kind of key (what is before its first slash) leaves to the others
 MOST_KEY = 160  # bytes
+# Bytes of the keys of one life, each with its count, until names of the kind of which there may be any number
+# are counted together.
+MOST_BYTES, OF_COUNT = 2000, 9
+UNBOUNDED, OTHERS = "tenant/", "others"
 TOLD = 4  # lives of others in an answer
 TOLD_BYTES = 1536  # of counts in an answer,
 OWN_BYTES = 1024  # of them for its own life: lives that ended are told by others alone
-WHOLE_BYTES = 6144  # in one to a member of before parts, which takes whole counts alone
+WHOLE_BYTES = 12_288  # in one to a member of before parts, which takes whole counts alone; at the most
 
 
 @dataclass(slots=True)
@@ -76,7 +79,7 @@
     born: float | None = None
     own: Counter = field(default_factory=Counter)
     changed: dict[str, int] = field(default_factory=dict)  # the version of the last change of each of `own`
-    kinds: Counter = field(default_factory=Counter)  # keys of each kind
+    room: int = MOST_BYTES
     order: list[str] = field(default_factory=list)
     version: int = 0
     books: dict[Life, Book] = field(default_factory=dict)
@@ -88,6 +91,7 @@
     told_turn: int = 0
 
     def add(self, key: str, n: int = 1) -> None:
+        """`key`: kind/name/word. Names that come when there is no room are counted together."""
         if key not in self.own:
             key = self._key(key)
         self.own[key] += n
@@ -95,17 +99,15 @@
         self.changed[key] = self.version
 
     def _key(self, key: str) -> str:
-        """A new key, or the rest where there is no room for it."""
-        kind = key.partition("/")[0]
-        room = MOST_KEYS - 1 + (REST in self.own)
-        if (
-            not key
-            or len(key.encode()) > MOST_KEY
-            or len(self.own) >= room
-            or self.kinds[kind] >= MOST_KEYS - SPARED
-        ):
+        """A new key, or what it is counted as where there is no room for it."""
+        size = len(key.encode()) + OF_COUNT
+        if key.startswith(UNBOUNDED) and (size > self.room or size > MOST_KEY):
+            key = f"{UNBOUNDED}{OTHERS}/{key.rpartition('/')[2]}"
+            size = 0 if key in self.own else len(key.encode()) + OF_COUNT
+        full = key not in self.own and len(self.own) >= MOST_KEYS - 1 + (REST in self.own)
+        if not key or full or len(key.encode()) > MOST_KEY:
             return REST
-        self.kinds[kind] += 1
+        self.room -= size
         return key
 
     # ---- what is heard
@@ -223,7 +225,7 @@
             out.append(Asked(life.name, life.inc, b.version, b.come_to))
         return out
 
-    def to_tell(self, asked: Sequence[Asked], now: float) -> list[Part]:
+    def parts(self, asked: Sequence[Asked], now: float) -> list[Part]:
         """This life's counts and what else was asked for, from where it was asked; and which versions are
         known of some others."""
         want = {(a.name, a.inc): a for a in asked[:TOLD]}
@@ -259,10 +261,10 @@
             out.append(lives[self.told_turn % len(lives)])
         return out
 
-    def whole(self, now: float) -> list[Tally]:
-        """For a member of before parts: this life's, and some of others in turn, where they fit; of what
-        does not it hears nothing, and what is missing grows with its age."""
-        out, room = [], WHOLE_BYTES
+    def to_tell(self, now: float, room: int = WHOLE_BYTES) -> list[Tally]:
+        """For a member of before parts: this life's, and some of others in turn, as far as there is room, in
+        bytes; of what has none it hears nothing, and what is missing grows with its age."""
+        out = []
         own = Tally(self.life, self.version, 0, False, dict(self.own))
         for t in [own, *(self._tally(life, now) for life in self._some(TOLD))]:
             if t is not None:
--- a/ochrehoist/peers/group.py
+++ b/ochrehoist/peers/group.py
@@ -11,11 +11,12 @@
 from typing import Protocol
 
 from ochrehoist.peers.assign import View, bits, to_claim, to_give
-from ochrehoist.peers.counts import Ledger
+from ochrehoist.peers.counts import WHOLE_BYTES, Ledger
 from ochrehoist.peers.members import ALIVE, DEAD, LEFT, SUSPECT, Membership
 from ochrehoist.peers.rights import Budget, Holder, Meter, Voter
 from ochrehoist.peers.services import Judge
 from ochrehoist.peers.wire import (
+    MOST,
     NOBODY,
     Ack,
     Ask,
@@ -43,6 +44,7 @@
 KNOW = 24  # names of a ping whose news are asked for
 NEWS = 12  # entries of an answer
 ENTRIES_BYTES = 8192  # of its sender, its rumours and the news: the counts must find room beside them
+FRAME_BYTES = 1024  # of what is round them
 HELPERS = 3
 FRESH_S = 2.0  # that another's wish for a right counts
 HELLO_S = 0.2  # between two words to one that does not know this life
@@ -357,9 +359,10 @@
             entries.append(e)
         ack = Ack(item.nonce, "", entries, rumours)
         if self.members.established and item.asked is None:
-            ack.tallies = self.ledger.whole(now)
+            rest = MOST - FRAME_BYTES - sum(e.size() for e in (*entries, *rumours))
+            ack.tallies = self.ledger.to_tell(now, min(rest, WHOLE_BYTES))
         elif self.members.established:
-            ack.parts = self.ledger.to_tell(item.asked, now)
+            ack.parts = self.ledger.parts(item.asked, now)
         return self._to(sender.name, [ack])
 
     def _acked(self, item: Ack, sender: Life, now: float) -> list[Send]:
--- a/ochrehoist/sites/order.py
+++ b/ochrehoist/sites/order.py
@@ -9,16 +9,20 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from heapq import nlargest
 
 import xxhash
 
-from ochrehoist.interface import Repeat, RequestClass, Tenant
+from ochrehoist.core.tenants import Tenants
+from ochrehoist.interface import Repeat, RequestClass
 
 MEMORY_S = 6.0  # after which what came counts for 1/e
 LEARN, LEARN_COLD = 0.08, 0.25  # of a run's time, in the mean of its class; while the machine warms
 STEADY = 0.3  # by which two classes' worth by work may differ in a logarithm and count as alike
 AGAIN_S = 4.0  # in which the same is taken for a further try, marked or not
 MOST_SEEN = 8192
+QUIET = 0.02  # requests a second under which a tenant's rate is forgotten
+MOST_TOLD = 64  # tenants whose rates are told to others: a word must fit in a datagram
 
 Group = tuple[str, bool]  # class, and whether it is beyond its tenant's share
 
@@ -56,9 +60,7 @@
 
 
 class Order:
-    def __init__(
-        self, classes: Iterable[RequestClass], tenants: Iterable[Tenant], beyond_worth: float
-    ) -> None:
+    def __init__(self, classes: Iterable[RequestClass], tenants: Tenants, beyond_worth: float) -> None:
         self.costs: dict[str, float] = {}  # s of one core for one request
         self.shares: dict[Group, Rate] = {}
         self.rates: dict[str, Rate] = {}
@@ -67,11 +69,9 @@
         self.starts: dict[Group, tuple[float, float]] = {}  # where each group begins, and how wide it is
         self.configure(classes, tenants, beyond_worth)
 
-    def configure(
-        self, classes: Iterable[RequestClass], tenants: Iterable[Tenant], beyond_worth: float
-    ) -> None:
+    def configure(self, classes: Iterable[RequestClass], tenants: Tenants, beyond_worth: float) -> None:
         self.classes = {c.name: c for c in classes}
-        self.quotas = {t.name: t.quota_per_s for t in tenants}
+        self.tenants = tenants
         self.beyond_worth = beyond_worth
         self.costs = {n: c for n, c in self.costs.items() if n in self.classes}
         self.shares = {g: r for g, r in self.shares.items() if g[0] in self.classes}
@@ -110,9 +110,10 @@
     # ---- places
     def beyond(self, ident: tuple, tenant: str | None, now: float) -> bool:
         """Whether it is of the part that its tenant sends beyond its share of the fleet."""
-        quota = self.quotas.get(tenant) if tenant is not None else None
-        if quota is None:
+        known = self.tenants.of(tenant)
+        if known is None:
             return False
+        quota = known.quota_per_s
         rate = self.fleetwide.tenants.get(tenant, 0.0)
         own = self.rates.get(tenant)
         rate = max(rate, own.read(now) if own is not None else 0.0)
@@ -152,4 +153,17 @@
         return start + width * part_of(*ident)
 
     def tenant_rates(self, now: float) -> dict[str, float]:
-        return {t: r.read(now) for t, r in self.rates.items()}
+        """Of those that sent lately."""
+        rates = {t: r.read(now) for t, r in self.rates.items()}
+        for tenant in [t for t, rate in rates.items() if rate < QUIET]:
+            del self.rates[tenant], rates[tenant]
+        return rates
+
+    def told_rates(self, now: float) -> dict[str, float]:
+        """Of those nearest to their share, or furthest beyond it: only there do all have to agree."""
+
+        def part(item: tuple[str, float]) -> float:
+            known = self.tenants.of(item[0])
+            return item[1] / max(1e-9, known.quota_per_s) if known is not None else 0.0
+
+        return dict(nlargest(MOST_TOLD, self.tenant_rates(now).items(), key=part))
