--- a/ochrehoist/lab/scale.py
+++ b/ochrehoist/lab/scale.py
@@ -142,8 +142,12 @@
             self.notes.append(f"broken off: {why}")
             return why
         finally:
-            for task in (work, watch):
-                task.cancel()
+            # asyncio.wait_for() of Python 3.11 loses a cancellation that comes in the moment of its result.
+            left = {work, watch}
+            while left:
+                for task in left:
+                    task.cancel()
+                _, left = await asyncio.wait(left, timeout=WATCH_S)
             await asyncio.gather(work, watch, return_exceptions=True)
             for real in self.reals:
                 real.kill()
