Count the interpreter's steps in one place for three tests of growth

Need: three tests of growth each had their own tracer, alike but for bytecodes and lines, and two slopes the same beat of a member. Now stand_ins.interpreter_steps and _beating of benchmarks/slopes/state.py serve them. Bounds, expectations and the tests that check the counter itself are as they were.

--- a/benchmarks/slopes/state.py
+++ b/benchmarks/slopes/state.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 
 from benchmarks.slopes.module import MS, Driver, S, settings
@@ -56,9 +57,8 @@
             "taught_us": cpu_us(lambda: handover.teach(driver.module, known, driver.module.now))}
 
 
-def status_by_budgets(size: int, seed: int) -> Measures:
-    """A budget for each tenant of so many: what a member says of itself in each answer, and its beat."""
-    group = _group(8, seed, budgets=size)
+def _beating(group: Any) -> tuple[list[float], Callable[[], None]]:
+    """Its time in s, and a call that beats 50 ms later, as of a member that hears others and asks nobody."""
     now = [1.0]
 
     def beat() -> None:
@@ -67,6 +67,13 @@
         group.members.probes.clear()
         group.beat(now[0])
 
+    return now, beat
+
+
+def status_by_budgets(size: int, seed: int) -> Measures:
+    """A budget for each tenant of so many: what a member says of itself in each answer, and its beat."""
+    group = _group(8, seed, budgets=size)
+    _, beat = _beating(group)
     return {"beat_us": cpu_us(beat), "answer_bytes": len(group.status)}
 
 
@@ -212,14 +219,7 @@
     from ochrehoist.peers.view import told
 
     group, of_group = grown(lambda: _group(size, seed))
-    now = [1.0]
-
-    def beat() -> None:
-        now[0] += 0.05
-        group.members.heard_any = now[0]
-        group.members.probes.clear()
-        group.beat(now[0])
-
+    now, beat = _beating(group)
     return {"bytes": of_group, "beat_us": cpu_us(beat), "status_us": cpu_us(lambda: told(group, now[0]))}
 
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -226,6 +226,29 @@
         return report
 
 
+def interpreter_steps(call, unit="opcode"):
+    """How many bytecodes, or lines of Python (`unit="line"`), a call runs with all that it calls: the same on
+    any machine."""
+    count = 0
+
+    def step(frame, event, _):
+        nonlocal count
+        count += event == unit
+        return step
+
+    def enter(frame, event, _):
+        frame.f_trace_opcodes, frame.f_trace_lines = unit == "opcode", unit == "line"
+        return step
+
+    before = sys.gettrace()
+    sys.settrace(enter)
+    try:
+        call()
+    finally:
+        sys.settrace(before)
+    return count
+
+
 def read_exactly(sock, count):
     data = b""
     while len(data) < count:
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -5,11 +5,10 @@
 
 import json
 import logging
-import sys
 import unittest
 from unittest import mock
 
-from stand_ins import MS, settings
+from stand_ins import MS, interpreter_steps, settings
 
 from ochrehoist import interface as i
 from ochrehoist.core import handover
@@ -27,35 +26,13 @@
 LEARNED = 85  # bytes a tenant, of what was learned, before there is much to tell
 
 
-def operations(call):
-    """Bytecodes that a call comes to, with all that it calls: the same on any machine."""
-    count = 0
-
-    def step(frame, event, _):
-        nonlocal count
-        count += event == "opcode"
-        return step
-
-    def enter(frame, event, _):
-        frame.f_trace_opcodes, frame.f_trace_lines = True, False
-        return step
-
-    before = sys.gettrace()
-    sys.settrace(enter)
-    try:
-        call()
-    finally:
-        sys.settrace(before)
-    return count
-
-
 class Counted(unittest.TestCase):
     def test_a_loop_within_a_call_counts(self):
-        few, many = (operations(lambda n=n: [x + 1 for x in range(n)]) for n in (10, 110))
+        few, many = (interpreter_steps(lambda n=n: [x + 1 for x in range(n)]) for n in (10, 110))
         self.assertGreater(many - few, 100)
 
     def test_the_same_call_counts_the_same(self):
-        self.assertEqual(*(operations(lambda: sum(x for x in range(50))) for _ in "ab"))
+        self.assertEqual(*(interpreter_steps(lambda: sum(x for x in range(50))) for _ in "ab"))
 
 
 class Runs:
@@ -128,7 +105,7 @@
     for _ in range(3):
         core.goes_through()
     core.owner.swept = core.now
-    return operations(core.goes_through)
+    return interpreter_steps(core.goes_through)
 
 
 class RequestsWay(unittest.TestCase):
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -1,13 +1,12 @@
 """Routes by an index: the same rule as the plain search finds, at a cost that doesn't grow with the table."""
 
-import sys
 import unittest
 from fnmatch import fnmatchcase
 from types import SimpleNamespace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from stand_ins import ROOT
+from stand_ins import ROOT, interpreter_steps
 
 from ochrehoist import interface as i
 from ochrehoist.config import AjpRule, load_appliance
@@ -117,20 +116,7 @@
 def lines(call):
     """Lines of Python that a call takes; those of a pattern's own search by a compiled expression count as
     one."""
-    count = 0
-
-    def trace(frame, event, _):
-        nonlocal count
-        count += event == "line"
-        return trace
-
-    before = sys.gettrace()
-    sys.settrace(trace)
-    try:
-        call()
-    finally:
-        sys.settrace(before)
-    return count
+    return interpreter_steps(call, "line")
 
 
 class Growth(unittest.TestCase):
--- a/tests/test_tenants_at_size.py
+++ b/tests/test_tenants_at_size.py
@@ -2,12 +2,12 @@
 
 import json
 import random
-import sys
 import unittest
 from functools import partial
 from math import exp
 
 from helpers import CLASSES, MS, S, settings
+from stand_ins import interpreter_steps
 
 from ochrehoist import interface as i
 from ochrehoist.core import handover
@@ -154,25 +154,6 @@
                 self.play(seed, 2, 40, 2, 1e-9, (1, 5))
 
 
-def counted(call):
-    """How many steps of the interpreter the call takes."""
-    steps = 0
-
-    def step(frame, event, _):
-        nonlocal steps
-        frame.f_trace_opcodes, frame.f_trace_lines = True, False
-        steps += event == "opcode"
-        return step
-
-    before = sys.gettrace()
-    sys.settrace(step)
-    try:
-        call()
-    finally:
-        sys.settrace(before)
-    return steps
-
-
 class Looked(tuple):
     """Tenants that count who goes through them, in C as well."""
 
@@ -192,7 +173,7 @@
 
     def cost(self, module, call):
         Looked.times = 0
-        steps = counted(call)
+        steps = interpreter_steps(call)
         return steps, Looked.times
 
     def quiet(self, size):
