--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""The independent review: cases, their stand-ins and the report."""
--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that the cases of the review share."""
