Review case 3: a window made longer by a reload is forgotten by a kill

The longer window reaches runs in memory only; the intent on disk keeps the old one, which the next start takes.

Nothing outside review/.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")/../.." && exec .venv/bin/python -m review.3.case
