--- a/review/support/appliance.py
+++ b/review/support/appliance.py
@@ -1,4 +1,4 @@
-"""An appliance of one of the files under deploy/, with addresses of this machine, and the stand-ins around it."""
+"""An appliance of a file under deploy/, with addresses of this machine, and the stand-ins around it."""
 
 import re
 import socket
--- a/review/support/program.py
+++ b/review/support/program.py
@@ -1,4 +1,4 @@
-"""Starts the program by the commands of the deploy file, keeps the record of a case, and ends what it started."""
+"""Starts the program by the deploy file, keeps the record of a case, and ends what it started."""
 
 import contextlib
 import http.client
