--- a/ochrehoist/core/forwarder.py
+++ b/ochrehoist/core/forwarder.py
@@ -28,7 +28,7 @@
     RunCompleted,
     StandbyChanged,
 )
-from ochrehoist.core.request import InboundRequest
+from ochrehoist.core.request import InboundRequest, find_request
 from ochrehoist.core.response_tracker import ResponseTracker
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.units import NS_PER_MS
@@ -105,7 +105,7 @@
         self._forward(RequestArrived(request))
 
     def _caller_disconnected(self, message: CallerDisconnected) -> None:
-        request = self.pending.get(message.id)
+        request = find_request(self.pending, message.request)
         if request is not None:
             request.answered = True
             self._forward(message)
@@ -188,7 +188,7 @@
             if not request.answered and due_ns <= now_ns:
                 self._log.warning("forwarded_request_overdue", id=request.id)
                 self._fail(request, FailureReason.DEADLINE_PASSED)
-                self._forward(CallerDisconnected(request.id, gave_up=False))
+                self._forward(CallerDisconnected(request.reference, gave_up=False))
                 self._drop_if_finished(request)
 
     # Answers.
--- a/ochrehoist/core/handover_lines.py
+++ b/ochrehoist/core/handover_lines.py
@@ -23,7 +23,13 @@
     class_from_json,
     class_to_json,
 )
-from ochrehoist.core.request import Fingerprint, IdempotencyKey, InboundRequest
+from ochrehoist.core.request import (
+    NO_SERIAL,
+    Fingerprint,
+    IdempotencyKey,
+    InboundRequest,
+    RequestReference,
+)
 from ochrehoist.core.results import FailureReason, RunResult
 
 if TYPE_CHECKING:
@@ -114,6 +120,21 @@
     return None if data is None else result_from_json(data, codec)
 
 
+def reference_to_json(reference: RequestReference) -> Line:
+    """Returns the fields by which a line names a request; earlier releases read only its id."""
+    if reference.serial == NO_SERIAL:
+        return {"id": reference.id}
+    return {"id": reference.id, "serial": reference.serial}
+
+
+def reference_from_json(line: Line) -> RequestReference:
+    """Returns the request that a line names; lines of earlier releases have no serial number.
+
+    Raises KeyError, TypeError or ValueError if the fields are invalid.
+    """
+    return RequestReference(line["id"], int(line.get("serial", NO_SERIAL)))
+
+
 def request_to_json(request: InboundRequest, arrived_ns: int) -> Line:
     """Returns the fields of a request's line.
 
@@ -124,6 +145,7 @@
         "arrived": arrived_ns,
         "token": request.idempotency_key,
         "fingerprint": fingerprint_to_json(request.fingerprint),
+        **reference_to_json(request.reference),
     }
 
 
@@ -145,6 +167,7 @@
         idempotency_key=_optional_key_from_json(data["token"]),
         fingerprint=fingerprint_from_json(data["fingerprint"]),
         is_remote=True,
+        serial=reference_from_json(data).serial,
         **{field: data[name] for name, field in PLAIN_REQUEST_FIELDS.items()},
     )
 
@@ -278,8 +301,8 @@
     match message:
         case RequestArrived(request):
             return {"m": "arrived"} | request_to_json(request, request.arrived_ns)
-        case CallerDisconnected(request_id, gave_up):
-            return {"m": "gone", "id": request_id, "gave_up": gave_up}
+        case CallerDisconnected(reference, gave_up):
+            return {"m": "gone", **reference_to_json(reference), "gave_up": gave_up}
         case RunCompleted(request_id, result, duration_ns):
             return {
                 "m": "ended",
@@ -304,7 +327,7 @@
         remote = RemoteRequestOwner(line["id"], send, codec)
         return RequestArrived(request_from_json(line, remote, {c.name: c for c in classes}))
     if kind == "gone":
-        return CallerDisconnected(line["id"], bool(line["gave_up"]))
+        return CallerDisconnected(reference_from_json(line), bool(line["gave_up"]))
     if kind == "ended":
         return RunCompleted(line["id"], result_from_json(line["result"], codec), int(line["took"]))
     if kind == "standby":
--- a/ochrehoist/core/message_handlers.py
+++ b/ochrehoist/core/message_handlers.py
@@ -25,7 +25,7 @@
     StateTransferred,
     TenantsChanged,
 )
-from ochrehoist.core.request import InboundRequest
+from ochrehoist.core.request import InboundRequest, find_request
 from ochrehoist.core.results import FailureReason, RunResult
 
 
@@ -64,7 +64,7 @@
 
 def caller_disconnected(core: CoreContext, message: CallerDisconnected) -> None:
     """Marks the request as abandoned by its caller and notifies the controller."""
-    request = core.open_requests.get(message.id)
+    request = find_request(core.open_requests, message.request)
     if request is None:
         return
     core.responses.caller_disconnected(request)
--- a/ochrehoist/core/messages.py
+++ b/ochrehoist/core/messages.py
@@ -5,7 +5,7 @@
 
 from ochrehoist.admission.settings import AdmissionSettings
 from ochrehoist.core.idempotency_table import IdempotentRun
-from ochrehoist.core.request import IdempotencyKey, InboundRequest
+from ochrehoist.core.request import IdempotencyKey, InboundRequest, RequestReference
 from ochrehoist.core.results import RunResult
 from ochrehoist.core.snapshot import CoreSnapshot, LearnedState
 from ochrehoist.core.tenants import TenantTable
@@ -30,7 +30,7 @@
 class CallerDisconnected:
     """Notification that the caller of a request no longer waits for the answer."""
 
-    id: str
+    request: RequestReference
     gave_up: bool = True  # False if its connection was lost
 
 
--- a/ochrehoist/core/request.py
+++ b/ochrehoist/core/request.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+import itertools
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from ochrehoist.admission.settings import RequestClass
 
@@ -16,13 +19,33 @@
 # Digests of a filing's target (None if the wire protocol has none) and of its body.
 Fingerprint = tuple[bytes | None, bytes]
 
+SERIAL_BASE_BYTES = 6  # serial numbers stay exact in JSON readers that use 64-bit floats
+NO_SERIAL = 0  # of a request that was handed over by a release without serial numbers
+
+# The random base separates the serial numbers of a process from those of the process that it replaces.
+_serials = itertools.count(int.from_bytes(os.urandom(SERIAL_BASE_BYTES), "big") + 1)
+
+
+class RequestReference(NamedTuple):
+    """Names one request, also after it has ended.
+
+    An id alone does not: callers choose the ids, and another request may have the same one.
+
+    Attributes:
+        id: The id that the caller chose.
+        serial: Distinguishes the requests that share an id, over all processes of this worker.
+    """
+
+    id: str
+    serial: int
+
 
 @dataclass(slots=True, eq=False)
 class InboundRequest:
     """One completely read request and the state of its handling.
 
     Attributes:
-        id: Unique among the requests of this worker.
+        id: Chosen by the caller; unique among the open requests of this worker.
         request_class: The class as configured when the request was read; later settings do not change it.
         arrived_ns: When the request reached the machine: Unix time from the front, the core's clock once
             accepted.
@@ -47,6 +70,7 @@
         answered: Whether an answer was sent or the caller has disconnected.
         started: Whether the controller has decided to run the request.
         is_remote: Whether another process read the request, and answers, counts and runs it.
+        serial: Distinguishes the request from others of the same id.
     """
 
     id: str
@@ -73,3 +97,20 @@
     answered: bool = False
     started: bool = False
     is_remote: bool = False
+    serial: int = field(default_factory=_serials.__next__)
+
+    @property
+    def reference(self) -> RequestReference:
+        """The reference by which messages name this request."""
+        return RequestReference(self.id, self.serial)
+
+
+def find_request(
+    requests: Mapping[str, InboundRequest], reference: RequestReference
+) -> InboundRequest | None:
+    """Returns the request of this reference from `requests`, which are by id.
+
+    Returns None if the request is not among them, even if another one of its id is.
+    """
+    request = requests.get(reference.id)
+    return request if request is not None and request.serial == reference.serial else None
--- a/ochrehoist/net/ajp_connection.py
+++ b/ochrehoist/net/ajp_connection.py
@@ -280,7 +280,7 @@
             # chunk, if the loop runs late.
             if not responder.done and (stream.ended or len(stream.buffer) > self._front.config.packet_size):
                 responder.cancel()
-                self._front.core.post(CallerDisconnected(request.id))
+                self._front.core.post(CallerDisconnected(request.reference))
                 raise ConnectionClosedError
 
     # ---- bodies
--- a/ochrehoist/net/handover_client.py
+++ b/ochrehoist/net/handover_client.py
@@ -200,7 +200,7 @@
         running_ids = [request.id for request in requests if request.started]
         for request in requests:
             if not request.started:
-                self._core.post(CallerDisconnected(request.id, gave_up=False))
+                self._core.post(CallerDisconnected(request.reference, gave_up=False))
         self._log.info("predecessor_ended", open_requests=len(requests), running=len(running_ids))
         self._on_connections({})
         self._loop.call_later(ORPHANED_RUN_TIMEOUT_S, lambda: self._fail_orphaned(running_ids))
--- a/ochrehoist/net/thrift_connection.py
+++ b/ochrehoist/net/thrift_connection.py
@@ -6,6 +6,7 @@
 from ochrehoist.admission.settings import RequestClass
 from ochrehoist.core.messages import CallerDisconnected, RequestArrived
 from ochrehoist.core.metrics import RequestCounter
+from ochrehoist.core.request import RequestReference
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.net import thrift
 from ochrehoist.net.front import MESSAGE_ARRIVAL_TIMEOUT_S, FrontConnection, FrontContext
@@ -100,7 +101,7 @@
     """The connection of a router to the Thrift front.
 
     Attributes:
-        open_requests: The ids of unanswered requests, by the sequence id of their call.
+        open_requests: The unanswered requests, by the sequence id of their call.
         request_count: Number of requests that were read.
         replied: Whether any reply was sent.
         only_pinged: Whether all calls so far were health checks.
@@ -110,7 +111,7 @@
 
     def __init__(self, front: ThriftFrontContext, loop: Loop, stream: Stream, number: int) -> None:
         super().__init__(loop, stream, number)
-        self.open_requests: dict[int, str] = {}
+        self.open_requests: dict[int, RequestReference] = {}
         self.request_count = 0
         self.replied = False
         self.only_pinged = False
@@ -225,9 +226,9 @@
             if (kind, number) != (thrift.I32, 1):
                 message.args.skip(kind)
                 continue
-            request_id = self.open_requests.pop(message.args.read_i32(), None)
-            if request_id is not None:
-                self._front.core.post(CallerDisconnected(request_id))
+            request = self.open_requests.pop(message.args.read_i32(), None)
+            if request is not None:
+                self._front.core.post(CallerDisconnected(request))
 
     def _invoke(self, message: thrift.Message) -> None:
         values: dict[bytes, bytes] | None = None
@@ -261,7 +262,7 @@
         request = front.read_request(values, body, ThriftResponder(self, sequence_id))
         self.only_pinged = False
         self.request_count += 1
-        self.open_requests[sequence_id] = request.id
+        self.open_requests[sequence_id] = request.reference
         front.core.post(RequestArrived(request))
 
     def _reject_early(self, sequence_id: int, values: dict[bytes, bytes]) -> bool:
--- a/ochrehoist/plan/simulated_worker.py
+++ b/ochrehoist/plan/simulated_worker.py
@@ -16,7 +16,7 @@
     RequestArrived,
     RunCompleted,
 )
-from ochrehoist.core.request import InboundRequest
+from ochrehoist.core.request import InboundRequest, RequestReference
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.plan.cores import Cores
 from ochrehoist.plan.fleet_run import CoreTask, FleetWorker, TaskKind
@@ -103,10 +103,10 @@
         answered: The reply is on its way, or nobody waits for it.
         is_retry: The router marks it as a retry.
         arrived_at: s, of virtual time.
-        was_read: The core knows of it.
+        request: By which the core knows of it; None before it is read.
     """
 
-    __slots__ = ("_simulation", "answered", "arrived_at", "call", "id", "is_retry", "was_read", "worker")
+    __slots__ = ("_simulation", "answered", "arrived_at", "call", "id", "is_retry", "request", "worker")
 
     def __init__(
         self, simulation: SimulationContext, call: Call, worker: "SimulatedWorker", number: int
@@ -118,7 +118,7 @@
         self.answered = False
         self.is_retry = call.attempts > 1
         self.arrived_at = 0.0
-        self.was_read = False
+        self.request: RequestReference | None = None
 
     def reply(self, reply: Reply) -> None:
         """Sends the reply to the router; a second one is dropped."""
@@ -247,8 +247,8 @@
             return
         self.forget(attempt)
         attempt.answered = True
-        if attempt.was_read:
-            self.actor.post(CallerDisconnected(attempt.id))
+        if attempt.request is not None:
+            self.actor.post(CallerDisconnected(attempt.request))
             self.step()
 
     def forget(self, attempt: Attempt) -> None:
@@ -298,8 +298,9 @@
             self._reading -= 1
             attempt: Attempt = task.subject
             if not attempt.answered:
-                attempt.was_read = True
-                self.actor.post(RequestArrived(self._inbound_request(attempt)))
+                request = self._inbound_request(attempt)
+                attempt.request = request.reference
+                self.actor.post(RequestArrived(request))
         elif task.kind is TaskKind.RUN:
             self._running -= 1
             duration_ns = int((now - task.started_at) * NS_PER_S)
--- a/tests/core/test_idempotent_runs.py
+++ b/tests/core/test_idempotent_runs.py
@@ -45,12 +45,12 @@
 
     def test_a_filing_whose_caller_has_left_starts_only_for_a_retry(self):
         abandoned = self.arrive()
-        self.post_and_step(CallerDisconnected(abandoned.id), IntentRecorded(abandoned.id, True))
+        self.post_and_step(CallerDisconnected(abandoned.reference), IntentRecorded(abandoned.id, True))
         self.assertEqual((self.started, self.running()), ([], 0))
         self.assertEqual(self.journal.calls[-1], ("drop", "k"))
         abandoned = self.arrive("other")
         retried = self.arrive("other", retry=True)
-        self.post_and_step(CallerDisconnected(abandoned.id), IntentRecorded(abandoned.id, True))
+        self.post_and_step(CallerDisconnected(abandoned.reference), IntentRecorded(abandoned.id, True))
         self.assertEqual(self.started, [abandoned.id])
         self.post_and_step(RunCompleted(abandoned.id, RunResult(Outcome.OK, b"done"), S))
         self.assertEqual(self.answers(retried), [("served", b"done")])
