Name the request of a completed run by a reference, so it ends no later run of its id

Callers would see: a failure for a request that runs and succeeds, after a fault of the controller on an earlier request of the same id. Found on the related paths of the disconnect by id, not in service. Cause: RunCompleted named only the id; the one that frees the slot of a failed request ended the next of its id. Change: RunCompleted carries a RequestReference, from all executors and in the handover's "ended" line; the kernel's notices, which have only the id, are matched with the link's own run.

--- a/ochrehoist/core/action_handlers.py
+++ b/ochrehoist/core/action_handlers.py
@@ -24,6 +24,7 @@
 from ochrehoist.admission.settings import BackpressureSignal
 from ochrehoist.core.context import CoreContext
 from ochrehoist.core.messages import RunCompleted
+from ochrehoist.core.request import NO_SERIAL, RequestReference
 from ochrehoist.core.results import FailureReason, RunResult
 
 
@@ -33,7 +34,8 @@
     if request is None:
         # The request has ended already, for example after a fault. Without a completion the controller
         # would count it as running forever.
-        core.post(RunCompleted(action.id, RunResult(Outcome.NOT_STARTED), 0))
+        ended = RequestReference(action.id, NO_SERIAL)
+        core.post(RunCompleted(ended, RunResult(Outcome.NOT_STARTED), 0))
         return
     if request.started:
         return
@@ -46,7 +48,7 @@
         # The controller enforces the same rule; this check guards against a fault in it.
         core.log.error("duplicate_run_prevented", id=request.id)
         request.started = True
-        core.post(RunCompleted(request.id, RunResult(Outcome.FAILED), 0))
+        core.post(RunCompleted(request.reference, RunResult(Outcome.FAILED), 0))
         return
     window_end_ns = request.arrived_ns + request.request_class.idempotency_window_ns
     core.idempotency.run_started(key, request.id, window_end_ns, request.fingerprint)
--- a/ochrehoist/core/actor.py
+++ b/ochrehoist/core/actor.py
@@ -207,7 +207,7 @@
         if self.fleet_admission is not None:
             self.fleet_admission.run_started(request, self.now_ns)
         if not self.responses.execute(request):
-            self.post(RunCompleted(request.id, RunResult(Outcome.FAILED), 0))
+            self.post(RunCompleted(request.reference, RunResult(Outcome.FAILED), 0))
 
     # Process replacement: the side of the old process.
 
--- a/ochrehoist/core/forwarder.py
+++ b/ochrehoist/core/forwarder.py
@@ -19,6 +19,7 @@
     SendLine,
     decision_from_json,
     message_to_json,
+    reference_from_json,
 )
 from ochrehoist.core.messages import (
     CallerDisconnected,
@@ -28,7 +29,7 @@
     RunCompleted,
     StandbyChanged,
 )
-from ochrehoist.core.request import InboundRequest, find_request
+from ochrehoist.core.request import InboundRequest, RequestReference, find_request
 from ochrehoist.core.response_tracker import ResponseTracker
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.units import NS_PER_MS
@@ -119,16 +120,16 @@
         if message.recorded and not request.answered:
             self._execute(request)
         else:
-            self._run_completed(RunCompleted(request.id, RunResult(Outcome.NOT_STARTED), 0))
+            self._run_completed(RunCompleted(request.reference, RunResult(Outcome.NOT_STARTED), 0))
 
     def _run_completed(self, message: RunCompleted) -> None:
-        request = self.pending.get(message.id)
+        request = find_request(self.pending, message.request)
         if request is None:
             return
         self._forward(message)
         if self._send is None and not request.answered:
             self._complete(request, message.result)
-        self._completed[message.id] = message
+        self._completed[request.id] = message
         self._drop_if_finished(request)
 
     # Decisions of the other process.
@@ -140,7 +141,7 @@
         """
         request = self.pending.get(line.get("id", ""))
         if line["m"] == "start":
-            self._start(line["id"], request)
+            self._start(reference_from_json(line), request)
             return
         if request is None or request.answered:
             return
@@ -153,9 +154,9 @@
             self._responses.fail_untracked(request, decision.reason, decision.result)
         self._drop_if_finished(request)
 
-    def _start(self, request_id: str, request: InboundRequest | None) -> None:
+    def _start(self, reference: RequestReference, request: InboundRequest | None) -> None:
         if request is None:  # the caller has disconnected, so nothing is started
-            self._forward(RunCompleted(request_id, RunResult(Outcome.NOT_STARTED), 0))
+            self._forward(RunCompleted(reference, RunResult(Outcome.NOT_STARTED), 0))
         elif not request.started:
             request.started = True
             self._execute(request)
@@ -163,7 +164,7 @@
     def _execute(self, request: InboundRequest) -> None:
         request.started_ns = self._clock()
         if not self._responses.execute(request):
-            self._run_completed(RunCompleted(request.id, RunResult(Outcome.FAILED), 0))
+            self._run_completed(RunCompleted(request.reference, RunResult(Outcome.FAILED), 0))
 
     def connection_lost(self) -> None:
         """Handles the loss of the other process: running requests are still answered, no others started."""
--- a/ochrehoist/core/handover_lines.py
+++ b/ochrehoist/core/handover_lines.py
@@ -303,10 +303,10 @@
             return {"m": "arrived"} | request_to_json(request, request.arrived_ns)
         case CallerDisconnected(reference, gave_up):
             return {"m": "gone", **reference_to_json(reference), "gave_up": gave_up}
-        case RunCompleted(request_id, result, duration_ns):
+        case RunCompleted(reference, result, duration_ns):
             return {
                 "m": "ended",
-                "id": request_id,
+                **reference_to_json(reference),
                 "result": result_to_json(result, codec),
                 "took": duration_ns,
             }
@@ -329,7 +329,8 @@
     if kind == "gone":
         return CallerDisconnected(reference_from_json(line), bool(line["gave_up"]))
     if kind == "ended":
-        return RunCompleted(line["id"], result_from_json(line["result"], codec), int(line["took"]))
+        result = result_from_json(line["result"], codec)
+        return RunCompleted(reference_from_json(line), result, int(line["took"]))
     if kind == "standby":
         return StandbyChanged(bool(line["on"]))
     return None
--- a/ochrehoist/core/message_handlers.py
+++ b/ochrehoist/core/message_handlers.py
@@ -73,11 +73,12 @@
 
 def run_completed(core: CoreContext, message: RunCompleted) -> None:
     """Answers the request and the duplicates that wait for the same result."""
-    request = core.open_requests.pop(message.id, None)
+    request = find_request(core.open_requests, message.request)
     outcome = message.result.outcome
-    if request is None:  # closed before; the controller may still count it as running
-        core.dispatch(RequestCompleted(message.id, outcome, message.duration_ns))
+    if request is None:
+        _complete_closed_request(core, message)
         return
+    del core.open_requests[request.id]
     duration_ns = message.duration_ns
     if request.started_ns:  # otherwise it was never counted as running
         if core.limiter is not None:
@@ -89,6 +90,12 @@
     _complete(core, request, message.result, duration_ns)
 
 
+def _complete_closed_request(core: CoreContext, message: RunCompleted) -> None:
+    """Notifies the controller, which may still count the request as running, unless its id is used again."""
+    if message.request.id not in core.open_requests:
+        core.dispatch(RequestCompleted(message.request.id, message.result.outcome, message.duration_ns))
+
+
 def duplicate_resolved(core: CoreContext, message: DuplicateResolved) -> None:
     """Answers a duplicate with the result of the run that it duplicates."""
     request = core.open_requests.pop(message.id, None)
@@ -189,7 +196,7 @@
     The two can differ after a fault of the controller.
     """
     if not request.started:
-        core.post(RunCompleted(request.id, RunResult(Outcome.NOT_STARTED), 0))
+        core.post(RunCompleted(request.reference, RunResult(Outcome.NOT_STARTED), 0))
 
 
 MESSAGE_HANDLERS: dict[type[Message], Callable[[CoreContext, Any], None]] = {
--- a/ochrehoist/core/messages.py
+++ b/ochrehoist/core/messages.py
@@ -38,7 +38,7 @@
 class RunCompleted:
     """Notification that the run of a request has ended."""
 
-    id: str
+    request: RequestReference
     result: RunResult
     duration_ns: int
 
--- a/ochrehoist/net/ajp_server.py
+++ b/ochrehoist/net/ajp_server.py
@@ -264,7 +264,7 @@
         finally:  # the core needs exactly one RunCompleted for each start
             self._running -= 1
             duration_ns = int((time.monotonic() - started_s) * NS_PER_S)
-            self._core.post(RunCompleted(request.id, result, duration_ns))
+            self._core.post(RunCompleted(request.reference, result, duration_ns))
 
     def _run_by_load(self, request: InboundRequest) -> RunResult:
         for pool in self._pools_by_load():
--- a/ochrehoist/net/handover_client.py
+++ b/ochrehoist/net/handover_client.py
@@ -14,7 +14,7 @@
 from ochrehoist.core.handover_snapshot import SnapshotReader
 from ochrehoist.core.idempotent_runs import RESULT_OVERHEAD_BYTES
 from ochrehoist.core.messages import CallerDisconnected, RunCompleted, StateTransferred
-from ochrehoist.core.request import InboundRequest
+from ochrehoist.core.request import InboundRequest, RequestReference
 from ochrehoist.core.results import RunResult
 from ochrehoist.core.snapshot import CoreSnapshot
 from ochrehoist.net.handover_link import (
@@ -197,16 +197,16 @@
             for candidate in self._core.open_requests.values()
             if self._is_from_predecessor(candidate)
         ]
-        running_ids = [request.id for request in requests if request.started]
+        running = [request.reference for request in requests if request.started]
         for request in requests:
             if not request.started:
                 self._core.post(CallerDisconnected(request.reference, gave_up=False))
-        self._log.info("predecessor_ended", open_requests=len(requests), running=len(running_ids))
+        self._log.info("predecessor_ended", open_requests=len(requests), running=len(running))
         self._on_connections({})
-        self._loop.call_later(ORPHANED_RUN_TIMEOUT_S, lambda: self._fail_orphaned(running_ids))
+        self._loop.call_later(ORPHANED_RUN_TIMEOUT_S, lambda: self._fail_orphaned(running))
 
-    def _fail_orphaned(self, request_ids: list[str]) -> None:
+    def _fail_orphaned(self, running: list[RequestReference]) -> None:
         self.predecessor_present = False
-        for request_id in request_ids:
+        for request in running:
             duration_ns = int(ORPHANED_RUN_TIMEOUT_S * NS_PER_S)
-            self._core.post(RunCompleted(request_id, RunResult(Outcome.FAILED), duration_ns))
+            self._core.post(RunCompleted(request, RunResult(Outcome.FAILED), duration_ns))
--- a/ochrehoist/net/kernel_link.py
+++ b/ochrehoist/net/kernel_link.py
@@ -26,6 +26,7 @@
     MalformedNoticeError,
     MalformedResultError,
     RunEnded,
+    RunReport,
     UnknownNotice,
     open_command,
     parse_notice,
@@ -265,7 +266,7 @@
     def _fail_unknown(self, run: KernelRun) -> None:
         if run.outcome_unknown and self._runs.is_open(run):
             duration_ns = int(UNKNOWN_OUTCOME_TIMEOUT_S * NS_PER_S)
-            self._end_run(RunCompleted(run.request.id, RunResult(Outcome.FAILED), duration_ns))
+            self._end_run(RunReport(run.request.id, RunResult(Outcome.FAILED), duration_ns))
 
     def _receive_notices(self, stream: Stream) -> None:
         stream.write(open_command(self._offset))
@@ -314,7 +315,7 @@
 
     def _send_or_drop(self, stream: Stream, run: KernelRun) -> None:
         if run.request.answered:  # no caller is waiting for the result
-            self._end_run(RunCompleted(run.request.id, RunResult(Outcome.NOT_STARTED), 0))
+            self._end_run(RunReport(run.request.id, RunResult(Outcome.NOT_STARTED), 0))
         else:
             self._schedule(stream, run)
 
@@ -371,24 +372,25 @@
         if not self._is_new(notice.offset):
             return
         try:
-            completed = notice.run_completed()
+            report = notice.report()
         except MalformedResultError as error:
             if self._repeat_requested_offset != self._offset:
                 raise
             # The repeated notice is malformed too: the run has ended, but its result is lost.
-            completed = RunCompleted(error.request_id, RunResult(Outcome.FAILED), 0)
+            report = RunReport(error.request_id, RunResult(Outcome.FAILED), 0)
         self._offset = notice.offset  # only now: a malformed notice must be repeated
-        self._end_run(completed)
+        self._end_run(report)
 
     def _handle_rejected(self, notice: CommandRejected) -> None:
         # The kernel never received a request of this id: a client made it up, and no run was started.
         self._log.warning("kernel_command_rejected", command=notice.command, id=notice.request_id)
         if notice.request_id is not None:
-            self._end_run(RunCompleted(notice.request_id, RunResult(Outcome.NOT_STARTED), 0))
+            self._end_run(RunReport(notice.request_id, RunResult(Outcome.NOT_STARTED), 0))
 
     def _handle_unknown(self, notice: UnknownNotice) -> None:
         self._log.warning("kernel_notice_unknown", command=notice.command)
 
-    def _end_run(self, completed: RunCompleted) -> None:
-        if self._runs.end(completed.id) is not None:
-            self._core.post(completed)
+    def _end_run(self, report: RunReport) -> None:
+        run = self._runs.end(report.request_id)
+        if run is not None:
+            self._core.post(RunCompleted(run.request.reference, report.result, report.duration_ns))
--- a/ochrehoist/net/kernel_protocol.py
+++ b/ochrehoist/net/kernel_protocol.py
@@ -7,7 +7,6 @@
 from typing import Any, NamedTuple
 
 from ochrehoist.admission.events import Outcome
-from ochrehoist.core.messages import RunCompleted
 from ochrehoist.core.results import RunResult
 from ochrehoist.errors import OchrehoistError
 from ochrehoist.units import NS_PER_MS
@@ -50,13 +49,21 @@
     load: tuple[float, ...]
 
 
+class RunReport(NamedTuple):
+    """What the kernel reports of a run that has ended; it names the run by the request's id alone."""
+
+    request_id: str
+    result: RunResult
+    duration_ns: int
+
+
 class RunEnded(NamedTuple):
     """Numbered notice that a run has ended; `fields` is parsed only if the notice is not a repetition."""
 
     offset: int
     fields: Mapping[str, Any]
 
-    def run_completed(self) -> RunCompleted:
+    def report(self) -> RunReport:
         """Parses the fields; the duration is measured by the kernel's clock.
 
         Raises:
@@ -74,7 +81,7 @@
             outcome = OUTCOMES.get(fields["result"], Outcome.FAILED)
         except (KeyError, TypeError) as error:
             raise MalformedNoticeError(error) from None
-        return RunCompleted(request_id, RunResult(outcome, body), duration_ns)
+        return RunReport(request_id, RunResult(outcome, body), duration_ns)
 
 
 class KernelLogged(NamedTuple):
--- a/ochrehoist/plan/fleet_run.py
+++ b/ochrehoist/plan/fleet_run.py
@@ -173,7 +173,7 @@
     """A piece of work on the cores of a worker's machine.
 
     Attributes:
-        subject: The caller of a handshake, the id of the request that runs, or what is read: an Attempt of a
+        subject: The caller of a handshake, the request that runs, or what is read: an Attempt of a
             simulation, in a measured run the future that is done with it.
         started_at: s since the start of the run.
     """
--- a/ochrehoist/plan/simulated_worker.py
+++ b/ochrehoist/plan/simulated_worker.py
@@ -215,7 +215,7 @@
         """The core starts a run."""
         self._running += 1
         self.note_running(self._running)
-        self.cores.start(CoreTask(TaskKind.RUN, request.id, self._simulation.now), request.payload)
+        self.cores.start(CoreTask(TaskKind.RUN, request.reference, self._simulation.now), request.payload)
 
     def health_changed(self, good: bool) -> None:
         """The core became healthy or unhealthy."""
--- a/tests/core/test_growth.py
+++ b/tests/core/test_growth.py
@@ -138,7 +138,7 @@
 
     def complete(self, request):
         self.now_ns += MS
-        self.actor.post(RunCompleted(request.id, RunResult(Outcome.OK, b"done"), MS))
+        self.actor.post(RunCompleted(request.reference, RunResult(Outcome.OK, b"done"), MS))
         self.actor.step()
 
     def serve(self, class_index=0, key=None):
--- a/tests/core/test_idempotent_runs.py
+++ b/tests/core/test_idempotent_runs.py
@@ -27,7 +27,7 @@
         self.post_and_step(IntentRecorded(filing.id, True))
         self.post_and_step(IntentRecorded(filing.id, True))
         self.assertEqual(self.started, [read.id, filing.id])
-        self.post_and_step(RunCompleted(filing.id, RunResult(Outcome.OK, b"done"), S))
+        self.post_and_step(RunCompleted(filing.reference, RunResult(Outcome.OK, b"done"), S))
         self.assertEqual(self.journal.calls[1:], [("end", "k", b"done")])
         self.assertEqual(self.answers(filing), [("served", b"done")])
 
@@ -52,20 +52,20 @@
         retried = self.arrive("other", retry=True)
         self.post_and_step(CallerDisconnected(abandoned.reference), IntentRecorded(abandoned.id, True))
         self.assertEqual(self.started, [abandoned.id])
-        self.post_and_step(RunCompleted(abandoned.id, RunResult(Outcome.OK, b"done"), S))
+        self.post_and_step(RunCompleted(abandoned.reference, RunResult(Outcome.OK, b"done"), S))
         self.assertEqual(self.answers(retried), [("served", b"done")])
 
     def test_a_filing_that_never_ran_is_removed_from_the_journal(self):
         filing = self.arrive()
         self.post_and_step(
-            IntentRecorded(filing.id, True), RunCompleted(filing.id, RunResult(Outcome.UNREACHABLE), 0)
+            IntentRecorded(filing.id, True), RunCompleted(filing.reference, RunResult(Outcome.UNREACHABLE), 0)
         )
         self.assertEqual(self.journal.calls[-1], ("drop", "k"))
 
     def test_while_the_journal_rejects_only_unknown_filings_are_rejected(self):
         done = self.arrive("done")
         self.post_and_step(
-            IntentRecorded(done.id, True), RunCompleted(done.id, RunResult(Outcome.OK, b"done"), S)
+            IntentRecorded(done.id, True), RunCompleted(done.reference, RunResult(Outcome.OK, b"done"), S)
         )
         for rejection, answer in (
             (Rejection(7 * S), ("refused", 7 * S)),
@@ -105,7 +105,7 @@
         own_filing = self.arrive("k")
         self.post_and_step(IntentRecorded(own_filing.id, True))
         self.restore(k={"result_stored": True})
-        self.post_and_step(RunCompleted(own_filing.id, RunResult(Outcome.OK, b"mine"), S))
+        self.post_and_step(RunCompleted(own_filing.reference, RunResult(Outcome.OK, b"mine"), S))
         self.assertEqual(self.answers(own_filing), [("served", b"mine")])
 
     def test_restored_filings_survive_settings_without_their_class_and_expire(self):
@@ -125,7 +125,7 @@
             request = self.arrive(f"k{n}")
             self.post_and_step(IntentRecorded(request.id, True))
             self.now_ns += 300_000_000
-            self.post_and_step(RunCompleted(request.id, RunResult(Outcome.OK), 300_000_000))
+            self.post_and_step(RunCompleted(request.reference, RunResult(Outcome.OK), 300_000_000))
         learned_state = snapshot(self.actor.controller)
         learned_mean = self.actor.controller.run_times.mean_run_ns[0].value
         for controller_late in (False, True):
