Name the request of a decision by a reference, so that it starts no later one of its id

Callers would see: in a replacement, a request that runs though it is answered as failed; a filing could run again under its key. Found on the related paths of the disconnect by id, not in service. Cause: "start" and the answers of the new process named the request by its id; the old one, in which the first request was aborted and a second of its id had arrived, started the second. Change: decisions carry the serial number; the old process ignores those for another request, and reports such a start as not run. Decisions without one, of an earlier release, are taken by id as before.

--- a/ochrehoist/core/forwarder.py
+++ b/ochrehoist/core/forwarder.py
@@ -11,15 +11,15 @@
 
 from ochrehoist.admission.events import Outcome
 from ochrehoist.core.handover_lines import (
-    FailureDecided,
+    AnswerDecision,
     ForwardedMessage,
     Line,
     RejectionDecided,
     ResultDecided,
     SendLine,
+    StartDecided,
     decision_from_json,
     message_to_json,
-    reference_from_json,
 )
 from ochrehoist.core.messages import (
     CallerDisconnected,
@@ -29,7 +29,7 @@
     RunCompleted,
     StandbyChanged,
 )
-from ochrehoist.core.request import InboundRequest, RequestReference, find_request
+from ochrehoist.core.request import NO_SERIAL, InboundRequest, RequestReference, find_request
 from ochrehoist.core.response_tracker import ResponseTracker
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.units import NS_PER_MS
@@ -139,18 +139,27 @@
 
         Raises KeyError, TypeError or ValueError if the line is damaged.
         """
-        request = self.pending.get(line.get("id", ""))
-        if line["m"] == "start":
-            self._start(reference_from_json(line), request)
-            return
-        if request is None or request.answered:
-            return
         decision = decision_from_json(line, self._codec)
+        if decision is None:
+            return
+        request = self._decided_request(decision.request)
+        if isinstance(decision, StartDecided):
+            self._start(decision.request, request)
+        elif request is not None and not request.answered:
+            self._answer(request, decision)
+
+    def _decided_request(self, reference: RequestReference) -> InboundRequest | None:
+        """Returns the pending request that a decision names; an earlier release names it by its id alone."""
+        if reference.serial == NO_SERIAL:
+            return self.pending.get(reference.id)
+        return find_request(self.pending, reference)
+
+    def _answer(self, request: InboundRequest, decision: AnswerDecision) -> None:
         if isinstance(decision, ResultDecided):
             self._complete(request, decision.result)
         elif isinstance(decision, RejectionDecided):
             self._responses.relay_rejection(request, decision.retry_after_ns, decision.no_retry)
-        elif isinstance(decision, FailureDecided):
+        else:
             self._responses.fail_untracked(request, decision.reason, decision.result)
         self._drop_if_finished(request)
 
--- a/ochrehoist/core/handover_lines.py
+++ b/ochrehoist/core/handover_lines.py
@@ -179,14 +179,14 @@
 class StartDecided:
     """Decision to run a request."""
 
-    id: str
+    request: RequestReference
 
 
 @dataclass(slots=True, frozen=True)
 class ResultDecided:
     """Decision to answer a request with a result."""
 
-    id: str
+    request: RequestReference
     result: RunResult
 
 
@@ -194,7 +194,7 @@
 class RejectionDecided:
     """Decision to reject a request."""
 
-    id: str
+    request: RequestReference
     retry_after_ns: int
     no_retry: bool
 
@@ -203,27 +203,33 @@
 class FailureDecided:
     """Decision to fail a request; `result` is that of its run, if it has ended."""
 
-    id: str
+    request: RequestReference
     reason: FailureReason
     result: RunResult | None
 
 
-Decision = StartDecided | ResultDecided | RejectionDecided | FailureDecided
+AnswerDecision = ResultDecided | RejectionDecided | FailureDecided
+Decision = StartDecided | AnswerDecision
 
 
 def decision_to_json(decision: Decision, codec: DetailCodec) -> Line:
     """Returns the line for a decision."""
     match decision:
-        case StartDecided(request_id):
-            return {"m": "start", "id": request_id}
-        case ResultDecided(request_id, result):
-            return {"m": "served", "id": request_id, "result": result_to_json(result, codec)}
-        case RejectionDecided(request_id, retry_after_ns, no_retry):
-            return {"m": "refused", "id": request_id, "backoff": retry_after_ns, "no_retry": no_retry}
-        case FailureDecided(request_id, reason, failed_result):
+        case StartDecided(request):
+            return {"m": "start", **reference_to_json(request)}
+        case ResultDecided(request, result):
+            return {"m": "served", **reference_to_json(request), "result": result_to_json(result, codec)}
+        case RejectionDecided(request, retry_after_ns, no_retry):
+            return {
+                "m": "refused",
+                **reference_to_json(request),
+                "backoff": retry_after_ns,
+                "no_retry": no_retry,
+            }
+        case FailureDecided(request, reason, failed_result):
             return {
                 "m": "failed",
-                "id": request_id,
+                **reference_to_json(request),
                 "reason": FAILURE_REASON_NAMES[reason],
                 "result": optional_result_to_json(failed_result, codec),
             }
@@ -236,22 +242,23 @@
     """
     kind = line["m"]
     if kind == "start":
-        return StartDecided(line["id"])
+        return StartDecided(reference_from_json(line))
     if kind == "served":
-        return ResultDecided(line["id"], result_from_json(line["result"], codec))
+        return ResultDecided(reference_from_json(line), result_from_json(line["result"], codec))
     if kind == "refused":
-        return RejectionDecided(line["id"], line["backoff"], line["no_retry"])
+        return RejectionDecided(reference_from_json(line), line["backoff"], line["no_retry"])
     if kind == "failed":
         reason = FAILURE_REASONS_BY_NAME[line["reason"]]
-        return FailureDecided(line["id"], reason, _optional_result_from_json(line["result"], codec))
+        result = _optional_result_from_json(line["result"], codec)
+        return FailureDecided(reference_from_json(line), reason, result)
     return None
 
 
 class RemoteRequestOwner:
     """Responder and Executor of a request that another process read: delegates both to that process."""
 
-    def __init__(self, request_id: str, send: SendLine, codec: DetailCodec) -> None:
-        self.id = request_id
+    def __init__(self, request: RequestReference, send: SendLine, codec: DetailCodec) -> None:
+        self._request = request
         self._send = send
         self._codec = codec
 
@@ -264,16 +271,16 @@
 
     def served(self, result: RunResult) -> bool:
         """Instructs the other process to answer with the result."""
-        self._send_decision(ResultDecided(self.id, result))
+        self._send_decision(ResultDecided(self._request, result))
         return True
 
     def rejected(self, retry_after_ns: int, no_retry: bool) -> None:
         """Instructs the other process to reject the request."""
-        self._send_decision(RejectionDecided(self.id, retry_after_ns, no_retry))
+        self._send_decision(RejectionDecided(self._request, retry_after_ns, no_retry))
 
     def failed(self, reason: FailureReason, result: RunResult | None = None) -> None:
         """Instructs the other process to fail the request."""
-        self._send_decision(FailureDecided(self.id, reason, result))
+        self._send_decision(FailureDecided(self._request, reason, result))
 
     def origin(self) -> tuple[str, str]:
         """Returns empty texts: the origin is known only to the other process."""
@@ -284,7 +291,7 @@
 
         Raises RequestOwnerDisconnectedError if that process has disconnected.
         """
-        if self._send_decision(StartDecided(self.id)) is False:
+        if self._send_decision(StartDecided(self._request)) is False:
             raise RequestOwnerDisconnectedError(request.id)
 
 
@@ -324,7 +331,7 @@
     """
     kind = line["m"]
     if kind == "arrived":
-        remote = RemoteRequestOwner(line["id"], send, codec)
+        remote = RemoteRequestOwner(reference_from_json(line), send, codec)
         return RequestArrived(request_from_json(line, remote, {c.name: c for c in classes}))
     if kind == "gone":
         return CallerDisconnected(reference_from_json(line), bool(line["gave_up"]))
--- a/ochrehoist/core/handover_snapshot.py
+++ b/ochrehoist/core/handover_snapshot.py
@@ -24,6 +24,7 @@
     fingerprint_to_json,
     key_from_json,
     optional_result_to_json,
+    reference_from_json,
     request_from_json,
     request_to_json,
     result_from_json,
@@ -162,7 +163,7 @@
         )
 
     def _read_request(self, line: Line) -> None:
-        remote = RemoteRequestOwner(line["id"], self._send, self._codec)
+        remote = RemoteRequestOwner(reference_from_json(line), self._send, self._codec)
         request = request_from_json(line, remote, self._classes)
         request.arrived_ns += self._clock_offset_ns
         self.snapshot.requests.append(request)
