Name duplicates by references, so that no later request of their id gets the result

Callers would see: the result of another filing, for a request that uses the id of an aborted duplicate. Found on the related paths of the disconnect by id, not in service. Cause: the duplicates that wait for a run, or for a result from the store, were kept by id after their abort. Change: waiters, fetch and DuplicateResolved carry references.

--- a/ochrehoist/core/idempotency_table.py
+++ b/ochrehoist/core/idempotency_table.py
@@ -6,7 +6,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from ochrehoist.core.request import Fingerprint, IdempotencyKey
+from ochrehoist.core.request import Fingerprint, IdempotencyKey, RequestReference
 from ochrehoist.core.results import RunResult
 
 # Time for which a run is kept beyond its window. It covers the error of arrival times, which are rounded to
@@ -37,7 +37,7 @@
         result_stored: Whether the result is in the journal and can be fetched from it.
         started: Whether the run was recorded and started on its executor; unused without a journal.
         restored: Whether the run dates from before a restart and the controller has not adopted it yet.
-        waiters: Ids of duplicates that wait for the result.
+        waiters: The duplicates that wait for the result.
     """
 
     id: str
@@ -48,7 +48,7 @@
     result_stored: bool = False
     started: bool = False
     restored: bool = False
-    waiters: tuple[str, ...] = ()
+    waiters: tuple[RequestReference, ...] = ()
 
     @property
     def has_ended(self) -> bool:
@@ -136,10 +136,10 @@
         self._drop_result(key)
         self.runs[key] = IdempotentRun(request_id, window_end_ns + WINDOW_MARGIN_NS, fingerprint)
 
-    def remove_unstarted_run(self, key: IdempotencyKey, request_id: str) -> list[str]:
+    def remove_unstarted_run(self, key: IdempotencyKey, request_id: str) -> list[RequestReference]:
         """Removes a run that was not started or never executed, so that a later attempt may run.
 
-        Returns the ids of the duplicates that waited for it.
+        Returns the duplicates that waited for it.
         """
         run = self.runs.get(key)
         if run is None or run.id != request_id:
@@ -149,8 +149,8 @@
 
     def run_ended(
         self, key: IdempotencyKey, request_id: str, result: RunResult, size_bytes: int
-    ) -> list[str]:
-        """Stores the result of a run and returns the ids of the duplicates that waited for it."""
+    ) -> list[RequestReference]:
+        """Stores the result of a run and returns the duplicates that waited for it."""
         run = self.runs.get(key)
         if run is None or run.id != request_id:
             return []
--- a/ochrehoist/core/idempotent_runs.py
+++ b/ochrehoist/core/idempotent_runs.py
@@ -16,7 +16,7 @@
 )
 from ochrehoist.core.idempotency_table import IdempotencyTable, IdempotentRun
 from ochrehoist.core.messages import DuplicateResolved, IntentRecorded, Message, StateRestored
-from ochrehoist.core.request import IdempotencyKey, InboundRequest
+from ochrehoist.core.request import IdempotencyKey, InboundRequest, find_request
 from ochrehoist.core.response_tracker import ResponseTracker
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.core.snapshot import LearnedState
@@ -128,12 +128,12 @@
         waiters = core.idempotency.remove_unstarted_run(key, request.id)
         if self._journal is not None:
             self._journal.never_ran(key)
-        for request_id in (request.id, *waiters):
-            waiting = core.open_requests.get(request_id)
+        for reference in (request.reference, *waiters):
+            waiting = find_request(core.open_requests, reference)
             if waiting is not None:
                 core.responses.reject(waiting, retry_after_ns)
-                core.open_requests.pop(request_id, None)
-                core.dispatch(RequestCompleted(request_id, Outcome.NOT_STARTED, 0))
+                core.open_requests.pop(waiting.id, None)
+                core.dispatch(RequestCompleted(waiting.id, Outcome.NOT_STARTED, 0))
 
     def run_ended(self, request: InboundRequest, key: IdempotencyKey, result: RunResult) -> None:
         """Stores the result of a run and answers the duplicates that wait for it."""
@@ -158,13 +158,13 @@
         request.attached_ns = core.now_ns
         run = core.idempotency.runs.get(key) if key is not None else None
         if run is not None and not run.has_ended:
-            run.waiters += (request.id,)
+            run.waiters += (request.reference,)
         elif run is not None and run.result is not None:
-            core.post(DuplicateResolved(request.id, run.result))
+            core.post(DuplicateResolved(request.reference, run.result))
         elif run is not None and run.result_stored and self._journal is not None and key is not None:
-            self._journal.fetch(key, request.id)
+            self._journal.fetch(key, request.reference)
         else:  # the result was evicted or never known, so the duplicate can only fail
-            core.post(DuplicateResolved(request.id, RunResult(Outcome.FAILED)))
+            core.post(DuplicateResolved(request.reference, RunResult(Outcome.FAILED)))
 
     def expire(self) -> None:
         """Removes runs whose window has ended from the table and the journal."""
--- a/ochrehoist/core/message_handlers.py
+++ b/ochrehoist/core/message_handlers.py
@@ -98,8 +98,9 @@
 
 def duplicate_resolved(core: CoreContext, message: DuplicateResolved) -> None:
     """Answers a duplicate with the result of the run that it duplicates."""
-    request = core.open_requests.pop(message.id, None)
+    request = find_request(core.open_requests, message.request)
     if request is not None:
+        del core.open_requests[request.id]
         _complete(core, request, message.result, core.now_ns - request.attached_ns)
 
 
--- a/ochrehoist/core/messages.py
+++ b/ochrehoist/core/messages.py
@@ -47,7 +47,7 @@
 class DuplicateResolved:
     """The result for a duplicate, from the run that it duplicates."""
 
-    id: str
+    request: RequestReference
     result: RunResult
 
 
--- a/ochrehoist/core/protocols.py
+++ b/ochrehoist/core/protocols.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from ochrehoist.core.idempotency_table import IdempotentRun
     from ochrehoist.core.metrics import RequestCounter
-    from ochrehoist.core.request import IdempotencyKey, InboundRequest
+    from ochrehoist.core.request import IdempotencyKey, InboundRequest, RequestReference
 
 
 class Logger(Protocol):
@@ -220,7 +220,7 @@
         """Removes a recorded intent whose run did not take place."""
         ...
 
-    def fetch(self, key: IdempotencyKey, request_id: str) -> None:
+    def fetch(self, key: IdempotencyKey, request: RequestReference) -> None:
         """Reads a stored result for the request. A DuplicateResolved message follows."""
         ...
 
--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -15,7 +15,7 @@
 from ochrehoist.core.idempotency_table import IdempotentRun
 from ochrehoist.core.messages import DuplicateResolved, IntentRecorded, StateRestored
 from ochrehoist.core.protocols import DetailCodec, IntentReplicator
-from ochrehoist.core.request import IdempotencyKey, InboundRequest
+from ochrehoist.core.request import IdempotencyKey, InboundRequest, RequestReference
 from ochrehoist.core.results import Rejection, RunResult
 from ochrehoist.errors import InvalidInputError
 from ochrehoist.loop_protocols import StartBlockingCalls, TimerLoop
@@ -202,7 +202,7 @@
         if self._replicator is not None:
             self._replicator.drop(encode_key(token))
 
-    def fetch(self, token: IdempotencyKey, request_id: str) -> None:
+    def fetch(self, token: IdempotencyKey, request: RequestReference) -> None:
         """Fetches a stored result for a duplicate request.
 
         A `DuplicateResolved` message follows, with a failed result if the stored one cannot be read.
@@ -211,7 +211,7 @@
 
         def resolve(record: ResultRecord | None, _error: Exception | None) -> None:
             result = stored_result(record, self._codec) or RunResult(Outcome.FAILED)
-            self._owner.post(DuplicateResolved(request_id, result))
+            self._owner.post(DuplicateResolved(request, result))
 
         queued_record = self._queue.queued_result(key)
         if queued_record is not None or self._session.store is None:
--- a/tests/core/test_idempotent_runs.py
+++ b/tests/core/test_idempotent_runs.py
@@ -91,9 +91,9 @@
         # The controller adopts restored runs only when an attempt of them arrives.
         self.assertEqual(len(self.actor.controller.idempotency.retained), 0)
         ended, begun = self.arrive("ended", retry=True), self.arrive("begun", retry=True)
-        self.assertEqual(self.journal.calls, [("fetch", "ended", ended.id)])
+        self.assertEqual(self.journal.calls, [("fetch", "ended", ended.reference)])
         self.assertEqual(self.answers(begun), [("failed", FailureReason.EXECUTOR_FAILED)])
-        self.post_and_step(DuplicateResolved(ended.id, RunResult(Outcome.OK, b"kept")))
+        self.post_and_step(DuplicateResolved(ended.reference, RunResult(Outcome.OK, b"kept")))
         self.assertEqual(self.answers(ended), [("served", b"kept")])
         self.assertEqual((self.started, len(self.actor.controller.idempotency.retained)), ([], 2))
         self.assertEqual(
--- a/tests/core/test_reused_ids.py
+++ b/tests/core/test_reused_ids.py
@@ -4,7 +4,15 @@
 from unittest import mock
 
 from ochrehoist.admission.events import Outcome, RequestReceived
-from ochrehoist.core.messages import RequestArrived, RunCompleted
+from ochrehoist.core.idempotency_table import IdempotentRun
+from ochrehoist.core.messages import (
+    CallerDisconnected,
+    DuplicateResolved,
+    IntentRecorded,
+    RequestArrived,
+    RunCompleted,
+    StateRestored,
+)
 from ochrehoist.core.results import FailureReason, RunResult
 from tests.core.core_test_case import READ, CoreTestCase, S
 
@@ -36,6 +44,34 @@
         self.post_and_step(RunCompleted(second.reference, OK, S))
         self.assertEqual((self.answers(second), self.running()), ([("served", b"done")], 0))
 
+    def test_the_result_of_a_filing_is_not_sent_to_a_request_with_the_id_of_an_aborted_duplicate(self):
+        # Guards against another filing's result: the duplicates that wait for a run were kept by their ids.
+        filing = self.arrive("k")
+        self.post_and_step(IntentRecorded(filing.id, True))
+        duplicate = self.arrive("k", retry=True, request_id="same")
+        self.post_and_step(CallerDisconnected(duplicate.reference))
+        other = self.arrive("other", request_id="same")
+        self.post_and_step(IntentRecorded(other.id, True))
+        self.post_and_step(RunCompleted(filing.reference, OK, S))
+        self.assertEqual(self.answers(other), [])
+        self.post_and_step(RunCompleted(other.reference, RunResult(Outcome.OK, b"its own"), S))
+        self.assertEqual(self.answers(other), [("served", b"its own")])
+
+    def test_a_fetched_result_is_not_sent_to_a_request_with_the_id_of_an_aborted_duplicate(self):
+        # Guards against another filing's result: a result is fetched from the store for an id.
+        run = IdempotentRun(
+            "old", self.now_ns + 9 * S, (None, b"x"), result_evicted=True, result_stored=True, restored=True
+        )
+        self.post_and_step(StateRestored({("acme", "filing", "k"): run}, None))
+        duplicate = self.arrive("k", retry=True, request_id="same")
+        ((_, _, fetched_for),) = self.journal.calls
+        self.post_and_step(CallerDisconnected(duplicate.reference))
+        other = self.arrive(request_class=READ, request_id="same")
+        self.post_and_step(DuplicateResolved(fetched_for, OK))
+        self.assertEqual(self.answers(other), [])
+        self.post_and_step(RunCompleted(other.reference, RunResult(Outcome.OK, b"its own"), S))
+        self.assertEqual(self.answers(other), [("served", b"its own")])
+
 
 if __name__ == "__main__":
     unittest.main()
