Name the request of a deadline by a reference, so that it fails no later one of its id

Callers would see: "failed" before the deadline for a request that uses the id of one that ended. Found on the related paths of the disconnect by id, not in service. Cause: the heap of answer deadlines kept ids, also of requests that have ended. Change: it keeps references; the probe of the scaling benchmark likewise.

--- a/benchmarks/scaling/core_probes.py
+++ b/benchmarks/scaling/core_probes.py
@@ -15,6 +15,7 @@
 from ochrehoist.core.handover_snapshot import snapshot_lines
 from ochrehoist.core.idempotency_table import IdempotencyTable
 from ochrehoist.core.metrics import Metrics
+from ochrehoist.core.request import NO_SERIAL, RequestReference
 from ochrehoist.core.results import RunResult
 from ochrehoist.core.snapshot import CoreSnapshot
 from ochrehoist.recovery.intent_log import IntentLog
@@ -68,13 +69,13 @@
 
     def fill() -> None:
         for number in range(size):
-            deadlines.set_answer_deadline(number * MS, f"request-{number}")
+            deadlines.set_answer_deadline(number * MS, RequestReference(f"request-{number}", number))
 
     _, heap_bytes = with_memory_growth(fill)
     numbers = iter(range(size, 10**9))
 
     def add_and_take_one() -> None:
-        deadlines.set_answer_deadline(next(numbers) * MS, "request")
+        deadlines.set_answer_deadline(next(numbers) * MS, RequestReference("request", NO_SERIAL))
         due_ns = deadlines.next_due_ns()
         assert due_ns is not None
         next(iter(deadlines.pop_overdue_requests(due_ns)), None)
--- a/ochrehoist/core/actor.py
+++ b/ochrehoist/core/actor.py
@@ -105,8 +105,8 @@
         return None if due_ns is None else max(0, due_ns - self.clock()) / NS_PER_S
 
     def _run_due_work(self) -> None:
-        for request_id in self.deadlines.pop_overdue_requests(self.now_ns):
-            message_handlers.answer_overdue_request(self, request_id)
+        for reference in self.deadlines.pop_overdue_requests(self.now_ns):
+            message_handlers.answer_overdue_request(self, reference)
         if self.deadlines.collect_due_timers(self.now_ns):
             self.request_gauges()
         if self.deadlines.gauges_wait_expired(self.now_ns):
--- a/ochrehoist/core/context.py
+++ b/ochrehoist/core/context.py
@@ -164,7 +164,7 @@
             if self.stop_ns is not None:
                 due_ns = min(due_ns, self.stop_ns - SHUTDOWN_ANSWER_MARGIN_NS)
             request.due_ns = due_ns
-            self.deadlines.set_answer_deadline(due_ns, request.id)
+            self.deadlines.set_answer_deadline(due_ns, request.reference)
 
     def reject(self, request: InboundRequest, retry_after_ns: int = NS_PER_S, no_retry: bool = False) -> None:
         """Rejects a request that was not passed to the controller."""
--- a/ochrehoist/core/deadlines.py
+++ b/ochrehoist/core/deadlines.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 
+from ochrehoist.core.request import RequestReference
 from ochrehoist.units import NS_PER_MS
 
 # Maximum time that a due timer waits for fresh gauges; after it the timer fires without them.
@@ -24,7 +25,7 @@
 
     def __init__(self) -> None:
         self._timers: list[tuple[int, int]] = []
-        self._answer_deadlines: list[tuple[int, str]] = []
+        self._answer_deadlines: list[tuple[int, RequestReference]] = []
         self._due_timers: DueTimers | None = None
 
     def clear_timers(self) -> None:
@@ -36,9 +37,9 @@
         """Sets a timer of the controller."""
         heappush(self._timers, (due_ns, timer_id))
 
-    def set_answer_deadline(self, due_ns: int, request_id: str) -> None:
+    def set_answer_deadline(self, due_ns: int, request: RequestReference) -> None:
         """Sets when the request becomes overdue."""
-        heappush(self._answer_deadlines, (due_ns, request_id))
+        heappush(self._answer_deadlines, (due_ns, request))
 
     def next_due_ns(self) -> int | None:
         """Returns when the next timer or deadline is due; None if there is none."""
@@ -47,8 +48,8 @@
             times.append(self._due_timers.gauges_wait_end_ns)
         return min(times) if times else None
 
-    def pop_overdue_requests(self, now_ns: int) -> Iterator[str]:
-        """Removes and yields the ids of requests whose deadline has passed, answered or not."""
+    def pop_overdue_requests(self, now_ns: int) -> Iterator[RequestReference]:
+        """Removes and yields the requests whose deadline has passed, answered or not."""
         while self._answer_deadlines and self._answer_deadlines[0][0] <= now_ns:
             yield heappop(self._answer_deadlines)[1]
 
--- a/ochrehoist/core/message_handlers.py
+++ b/ochrehoist/core/message_handlers.py
@@ -25,7 +25,7 @@
     StateTransferred,
     TenantsChanged,
 )
-from ochrehoist.core.request import InboundRequest, find_request
+from ochrehoist.core.request import InboundRequest, RequestReference, find_request
 from ochrehoist.core.results import FailureReason, RunResult
 
 
@@ -130,7 +130,7 @@
     core.stop_ns = core.now_ns + message.remaining_ns
     for request in core.open_requests.values():
         if not request.answered:
-            core.deadlines.set_answer_deadline(core.stop_ns - SHUTDOWN_ANSWER_MARGIN_NS, request.id)
+            core.deadlines.set_answer_deadline(core.stop_ns - SHUTDOWN_ANSWER_MARGIN_NS, request.reference)
     if core.controller is not None:
         core.dispatch(DrainStarted(message.remaining_ns))
     for listener in core.listeners:
@@ -176,13 +176,13 @@
     core.idempotent_runs.restore(message)
 
 
-def answer_overdue_request(core: CoreContext, request_id: str) -> None:
+def answer_overdue_request(core: CoreContext, reference: RequestReference) -> None:
     """Fails a request whose deadline has passed, if it is unanswered.
 
     The controller fails requests at their deadline itself, so this is needed only after a fault or if its
     timer was late.
     """
-    request = core.open_requests.get(request_id)
+    request = find_request(core.open_requests, reference)
     if request is None or request.answered:
         return
     core.log.warning("overdue_request_failed", id=request.id, started=request.started)
--- a/tests/core/test_reused_ids.py
+++ b/tests/core/test_reused_ids.py
@@ -72,6 +72,18 @@
         self.post_and_step(RunCompleted(other.reference, RunResult(Outcome.OK, b"its own"), S))
         self.assertEqual(self.answers(other), [("served", b"its own")])
 
+    def test_the_deadline_of_an_ended_request_does_not_fail_a_later_one_of_its_id(self):
+        # Guards against an early failure: deadlines were kept by ids, also those of requests that have ended.
+        first = self.arrive(request_class=READ, request_id="same")
+        self.post_and_step(RunCompleted(first.reference, OK, S))
+        self.now_ns += 3 * S
+        second = self.arrive(request_class=READ, request_id="same")
+        self.now_ns += READ.deadline_ns - 2 * S  # one second after the deadline of the first
+        self.post_and_step()
+        self.assertEqual(self.answers(second), [])
+        self.post_and_step(RunCompleted(second.reference, OK, S))
+        self.assertEqual(self.answers(second), [("served", b"done")])
+
 
 if __name__ == "__main__":
     unittest.main()
