Name the attempts of intents by references, so that none begins before its own is stored

Found on the related paths of the disconnect by id, not in service. Cause: the write queue, the confirmations and the intents that wait for witnesses were kept by request ids. The commit of an attempt that had timed out confirmed a later one of its id, whose own intent was not on disk. Change: they and IntentRecorded use references; None, not "", stands for a run that a replaced process started. Records on disk and witnesses' messages have keys and are as before.

--- a/benchmarks/store/load.py
+++ b/benchmarks/store/load.py
@@ -15,6 +15,7 @@
 from benchmarks.shared.samples import MEDIAN, P99, percentile_ms
 from benchmarks.shared.stand_ins import InstantServer, WorkerProcess, long_window_settings
 from benchmarks.shared.workers import large_machine_settings
+from ochrehoist.core.request import RequestReference
 from ochrehoist.store import files
 from ochrehoist.store.database import create_store
 from ochrehoist.store.operations import PutIntent, PutResult
@@ -115,7 +116,7 @@
                 count += 1
                 record = _intent(f"k{count}", count)
                 key = encode_key(record.idempotency_key)
-                group.append(PutIntent(record.request_id, key, record))
+                group.append(PutIntent(RequestReference(record.request_id, count), key, record))
                 group.append(PutResult(key, ResultRecord("OK", True, RESULT_BODY)))
             opened.database.commit(group)
             opened.database.checkpoint_if_due()
--- a/ochrehoist/core/forwarder.py
+++ b/ochrehoist/core/forwarder.py
@@ -114,7 +114,7 @@
 
     def _intent_recorded(self, message: IntentRecorded) -> None:
         """Handles the journal's answer for a filing that was being recorded at the time of the takeover."""
-        request = self.pending.get(message.id)
+        request = find_request(self.pending, message.request)
         if request is None:
             return
         if message.recorded and not request.answered:
--- a/ochrehoist/core/idempotent_runs.py
+++ b/ochrehoist/core/idempotent_runs.py
@@ -108,7 +108,7 @@
     def intent_recorded(self, message: IntentRecorded) -> None:
         """Starts a run whose intent is recorded, or cancels it if it could not be recorded."""
         core = self._core
-        request = self._core.open_requests.get(message.id)
+        request = find_request(core.open_requests, message.request)
         if request is None or request.idempotency_key is None:
             return
         run = core.idempotency.runs.get(request.idempotency_key)
--- a/ochrehoist/core/messages.py
+++ b/ochrehoist/core/messages.py
@@ -80,7 +80,7 @@
     A filing whose intent was not recorded is rejected with `retry_after_ns`.
     """
 
-    id: str
+    request: RequestReference
     recorded: bool
     retry_after_ns: int = 0
 
--- a/ochrehoist/core/protocols.py
+++ b/ochrehoist/core/protocols.py
@@ -188,7 +188,7 @@
         """Returns whether a filing that the store does not hold may nevertheless have run."""
         ...
 
-    def begin(self, request_id: str, key: bytes, window_left_s: float) -> None:
+    def begin(self, request: RequestReference, key: bytes, window_left_s: float) -> None:
         """Records the intent at the replicas; the journal's `replication_ended` is called afterwards."""
         ...
 
--- a/ochrehoist/net/intent_replication.py
+++ b/ochrehoist/net/intent_replication.py
@@ -14,6 +14,7 @@
 from ochrehoist.config.tables import RecoveryConfig
 from ochrehoist.core.actor import CoreActor
 from ochrehoist.core.protocols import IntentReplicator, Logger
+from ochrehoist.core.request import RequestReference
 from ochrehoist.peers.wire import Incarnation
 from ochrehoist.recovery.intent_log import IntentLog
 from ochrehoist.recovery.messages import (
@@ -53,7 +54,7 @@
     def replicate_intents_to(self, replicator: IntentReplicator) -> None:
         """Makes every later run wait for the `replication_ended` of its intent."""
 
-    def replication_ended(self, request_id: str, confirmed: bool) -> None:
+    def replication_ended(self, request: RequestReference, confirmed: bool) -> None:
         """Reports whether enough witnesses recorded the intent in time."""
 
     def hold_unknown_keys_until(self, until_ns: int) -> None:
@@ -97,7 +98,7 @@
         self._report: WitnessQuorumReport | None = None
         self._stored_keys: list[bytes] = []
         self._last_expiry_at = now
-        self._sent_at: dict[str, float] = {}  # by request id
+        self._sent_at: dict[RequestReference, float] = {}
         if peers is not None:
             peers.group.add_extension(TOPIC, self)
         self._journal: Any = journal
@@ -113,7 +114,7 @@
         window_end_s = self.missing_runs.get(key_digest(key)) if self.missing_runs else None
         return window_end_s is not None and window_end_s > time.monotonic()
 
-    def begin(self, request_id: str, key: bytes, window_left_s: float) -> None:
+    def begin(self, request: RequestReference, key: bytes, window_left_s: float) -> None:
         """Sends the intent to the witnesses.
 
         The journal's `replication_ended` is called once enough of them have confirmed it, or with False after
@@ -121,7 +122,7 @@
         """
         now = time.monotonic()
         max_wait_s = self._config.witness_timeout_ms / 1000
-        self.pending.add(request_id, key, window_left_s + WINDOW_MARGIN_S, max_wait_s, now)
+        self.pending.add(request, key, window_left_s + WINDOW_MARGIN_S, max_wait_s, now)
         self._send_pending(now)
 
     def drop(self, key: bytes) -> None:
@@ -166,8 +167,8 @@
         if isinstance(message, IntentPage):
             return self._add_page(sender.name, message, now)
         if isinstance(message, int):
-            for request_id in self.pending.acknowledge(sender.name, message, now):
-                self._journal.replication_ended(request_id, True)
+            for request in self.pending.acknowledge(sender.name, message, now):
+                self._journal.replication_ended(request, True)
         return []
 
     def _record(self, worker: str, message: RecordIntent, now: float) -> list[tuple[str, bytes]]:
@@ -190,15 +191,13 @@
     def _pending_messages(self, now: float) -> list[EncodedWitnessMessage]:
         if len(self._sent_at) > 4 * len(self.pending) + MAX_STALE_SEND_TIMES:
             self._sent_at = {
-                request_id: sent_at
-                for request_id, sent_at in self._sent_at.items()
-                if request_id in self.pending
+                request: sent_at for request, sent_at in self._sent_at.items() if request in self.pending
             }
 
-        def is_due(request_id: str) -> bool:
-            if now - self._sent_at.get(request_id, -math.inf) < RESEND_INTERVAL_S:
+        def is_due(request: RequestReference) -> bool:
+            if now - self._sent_at.get(request, -math.inf) < RESEND_INTERVAL_S:
                 return False
-            self._sent_at[request_id] = now
+            self._sent_at[request] = now
             return True
 
         return self.pending.messages(now, is_due)
@@ -260,8 +259,8 @@
             self._conclude_report(self._report, now)
         if self._report is not None and not self.history_known:
             self._conclude_without_quorum(self._report, now)
-        for request_id in self.pending.remove_timed_out(now):
-            self._journal.replication_ended(request_id, False)
+        for request in self.pending.remove_timed_out(now):
+            self._journal.replication_ended(request, False)
         if now - self._last_expiry_at >= EXPIRY_INTERVAL_S:
             self._last_expiry_at = now
             self.intent_log.remove_expired(now)
--- a/ochrehoist/recovery/pending_intents.py
+++ b/ochrehoist/recovery/pending_intents.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from ochrehoist.core.request import RequestReference
 from ochrehoist.recovery import quorum
 from ochrehoist.recovery.messages import PAGE_SIZE, RecordIntent, encode, key_digest
 
@@ -37,23 +38,28 @@
     def __init__(self, witnesses: Sequence[str]) -> None:
         self._witnesses = tuple(witnesses)
         self._write_quorum = quorum.quorum_sizes(len(self._witnesses)).write
-        self._pending: dict[str, PendingIntent] = {}  # by request id
+        self._pending: dict[RequestReference, PendingIntent] = {}
         self._withdrawn: list[bytes] = []
         self._message_number = 0
-        self._request_ids_by_message: OrderedDict[int, tuple[str, ...]] = OrderedDict()
+        self._requests_by_message: OrderedDict[int, tuple[RequestReference, ...]] = OrderedDict()
         self.wait_samples_s: list[float] = []  # waiting times of the latest recorded intents
 
     def __len__(self) -> int:
         return len(self._pending)
 
-    def __contains__(self, request_id: str) -> bool:
-        return request_id in self._pending
+    def __contains__(self, request: RequestReference) -> bool:
+        return request in self._pending
 
     def add(
-        self, request_id: str, stored_key: bytes, remaining_window_s: float, max_wait_s: float, now: float
+        self,
+        request: RequestReference,
+        stored_key: bytes,
+        remaining_window_s: float,
+        max_wait_s: float,
+        now: float,
     ) -> None:
         """Adds the intent of a run; gives up after `max_wait_s` without a write quorum."""
-        self._pending[request_id] = PendingIntent(
+        self._pending[request] = PendingIntent(
             key_digest(stored_key), now, now + max_wait_s, now + remaining_window_s
         )
 
@@ -66,66 +72,64 @@
         if len(self._withdrawn) < PAGE_SIZE:
             self._withdrawn.append(key_digest(stored_key))
 
-    def messages(self, now: float, is_due: Callable[[str], bool]) -> list[EncodedWitnessMessage]:
+    def messages(self, now: float, is_due: Callable[[RequestReference], bool]) -> list[EncodedWitnessMessage]:
         """Returns the messages to send now.
 
-        `is_due` is called once per request id, and returns whether the request was not sent recently.
+        `is_due` is called once per request, and returns whether its intent was not sent recently.
         """
-        request_ids = [request_id for request_id in self._pending if is_due(request_id)][:PAGE_SIZE]
-        if not request_ids and not self._withdrawn:
+        requests = [request for request in self._pending if is_due(request)][:PAGE_SIZE]
+        if not requests and not self._withdrawn:
             return []
         self._message_number += 1
-        self._request_ids_by_message[self._message_number] = tuple(request_ids)
-        while len(self._request_ids_by_message) > MAX_SENT_MESSAGES:
-            self._request_ids_by_message.popitem(last=False)
+        self._requests_by_message[self._message_number] = tuple(requests)
+        while len(self._requests_by_message) > MAX_SENT_MESSAGES:
+            self._requests_by_message.popitem(last=False)
         withdrawn = self._withdrawn
         self._withdrawn = []
         outgoing = []
         for witness in self._witnesses:
-            message = self._message_for(witness, request_ids, withdrawn, now)
+            message = self._message_for(witness, requests, withdrawn, now)
             if message.intents or message.withdrawn:
                 outgoing.append(EncodedWitnessMessage(witness, encode(message)))
         return outgoing
 
     def _message_for(
-        self, witness: str, request_ids: list[str], withdrawn: list[bytes], now: float
+        self, witness: str, requests: list[RequestReference], withdrawn: list[bytes], now: float
     ) -> RecordIntent:
         missing = [
-            intent
-            for intent in map(self._pending.__getitem__, request_ids)
-            if witness not in intent.recorded_by
+            intent for intent in map(self._pending.__getitem__, requests) if witness not in intent.recorded_by
         ]
         intents = [(intent.digest, int(1000 * (intent.window_ends_at - now)) + 1) for intent in missing]
         return RecordIntent(self._message_number, intents, withdrawn)
 
-    def acknowledge(self, witness: str, message_number: int, now: float) -> list[str]:
-        """Processes a witness's acknowledgement; returns the ids of the requests whose runs may begin now."""
+    def acknowledge(self, witness: str, message_number: int, now: float) -> list[RequestReference]:
+        """Processes a witness's acknowledgement; returns the requests whose runs may begin now."""
         if witness not in self._witnesses:
             return []
         ready = []
-        for request_id in self._request_ids_by_message.get(message_number, ()):
-            intent = self._pending.get(request_id)
+        for request in self._requests_by_message.get(message_number, ()):
+            intent = self._pending.get(request)
             if intent is None:
                 continue
             intent.recorded_by.add(witness)
             if len(intent.recorded_by) >= self._write_quorum:
-                del self._pending[request_id]
+                del self._pending[request]
                 self._add_wait_sample(now - intent.added_at)
-                ready.append(request_id)
+                ready.append(request)
         return ready
 
     def _add_wait_sample(self, wait_s: float) -> None:
         self.wait_samples_s.append(wait_s)
         del self.wait_samples_s[:-MAX_WAIT_SAMPLES]
 
-    def remove_timed_out(self, now: float) -> list[str]:
-        """Removes intents that waited too long; returns the ids of the requests to reject.
+    def remove_timed_out(self, now: float) -> list[RequestReference]:
+        """Removes intents that waited too long; returns the requests to reject.
 
         Intents that a witness has already recorded are withdrawn.
         """
-        expired = [request_id for request_id, intent in self._pending.items() if intent.times_out_at <= now]
-        for request_id in expired:
-            intent = self._pending.pop(request_id)
+        expired = [request for request, intent in self._pending.items() if intent.times_out_at <= now]
+        for request in expired:
+            intent = self._pending.pop(request)
             if intent.recorded_by:
                 self._withdrawn.append(intent.digest)
         return expired
--- a/ochrehoist/store/commit_scheduler.py
+++ b/ochrehoist/store/commit_scheduler.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from ochrehoist.core.request import RequestReference
 from ochrehoist.loop_protocols import BlockingCalls, TimerLoop
 from ochrehoist.store import failpoints
 from ochrehoist.store.errors import FailureKind, StoreFailedError
@@ -31,11 +32,11 @@
 class CommitListener(Protocol):
     """A receiver of the outcomes of intents; its methods never block."""
 
-    def intent_durable(self, request_id: str) -> None:
+    def intent_durable(self, request: RequestReference) -> None:
         """Called when an intent is durable on this disk."""
         ...
 
-    def intents_rejected(self, request_ids: Sequence[str]) -> None:
+    def intents_rejected(self, requests: Sequence[RequestReference]) -> None:
         """Called for requests that must not run: their intents are not stored, or will be deleted."""
         ...
 
@@ -162,9 +163,9 @@
         if self._failures.clear():
             self._log.info("store_works_again")
         self._metrics.committed(operations or 0, self._queue.commit_started_at, now)
-        for request_id in self._queue.committed():
+        for request in self._queue.committed():
             failpoints.reached(Failpoint.INTENT_DURABLE)
-            self._listener.intent_durable(request_id)
+            self._listener.intent_durable(request)
         self.run()
 
     def _group_failed(self, error: Exception, kind: FailureKind, now: float) -> None:
--- a/ochrehoist/store/intent_confirmations.py
+++ b/ochrehoist/store/intent_confirmations.py
@@ -1,5 +1,7 @@
 """Tracking of attempts that wait until both the local disk and the replicas have recorded their intents."""
 
+from ochrehoist.core.request import RequestReference
+
 REQUIRED_CONFIRMATIONS = 2  # one by the disk, one by the replicas
 
 
@@ -7,27 +9,27 @@
     """The outstanding confirmations of each attempt's intent, which may arrive in any order."""
 
     def __init__(self) -> None:
-        self._missing: dict[str, int] = {}  # outstanding confirmations by request id
+        self._missing: dict[RequestReference, int] = {}  # outstanding confirmations
 
-    def expect(self, request_id: str) -> None:
+    def expect(self, request: RequestReference) -> None:
         """Adds an attempt that waits for its confirmations."""
-        self._missing[request_id] = REQUIRED_CONFIRMATIONS
+        self._missing[request] = REQUIRED_CONFIRMATIONS
 
-    def confirm(self, request_id: str) -> bool:
+    def confirm(self, request: RequestReference) -> bool:
         """Counts one confirmation; returns True if it was the last one, so that the attempt may run."""
-        missing = self._missing.get(request_id)
+        missing = self._missing.get(request)
         if missing is None:
             return False
         if missing > 1:
-            self._missing[request_id] = missing - 1
+            self._missing[request] = missing - 1
             return False
-        del self._missing[request_id]
+        del self._missing[request]
         return True
 
-    def abandon(self, request_id: str) -> bool:
+    def abandon(self, request: RequestReference) -> bool:
         """Removes an attempt; returns whether it was waiting."""
-        return self._missing.pop(request_id, None) is not None
+        return self._missing.pop(request, None) is not None
 
-    def waiting(self) -> list[str]:
-        """Returns the request ids of all waiting attempts."""
+    def waiting(self) -> list[RequestReference]:
+        """Returns all waiting attempts."""
         return list(self._missing)
--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -173,15 +173,15 @@
         """Records the intent of a run; an `IntentRecorded` message follows within the setting `stall_ms`."""
         assert request.idempotency_key is not None
         if self._queue.rejection_reason(time.monotonic()):
-            self.intents_rejected([request.id])
+            self.intents_rejected([request.reference])
             return
         failpoints.reached(Failpoint.INTENT_QUEUED)
         key = encode_key(request.idempotency_key)
         intent = self._recorder().record(request.idempotency_key, run)
-        self._scheduler.add(PutIntent(request.id, key, intent))
+        self._scheduler.add(PutIntent(request.reference, key, intent))
         if self._replicator is not None:
-            self._confirmations.expect(request.id)
-            self._replicator.begin(request.id, key, intent.remaining_ns / NS_PER_S)
+            self._confirmations.expect(request.reference)
+            self._replicator.begin(request.reference, key, intent.remaining_ns / NS_PER_S)
 
     def end(self, token: IdempotencyKey, run: IdempotentRun, result: RunResult) -> None:
         """Records the result of a run, unless it exceeds the size limit."""
@@ -221,32 +221,32 @@
 
     # Outcomes from the replicator and the scheduler, which calls it as `commit_scheduler.CommitListener`.
 
-    def replication_ended(self, request_id: str, confirmed: bool) -> None:
+    def replication_ended(self, request: RequestReference, confirmed: bool) -> None:
         """Handles the end of an intent's replication.
 
         `confirmed` is false if too few replicas confirmed the intent in time.
         """
         if confirmed:
-            self._confirm(request_id)
-        elif self._confirmations.abandon(request_id):
-            self.intents_rejected([request_id])
+            self._confirm(request)
+        elif self._confirmations.abandon(request):
+            self.intents_rejected([request])
 
-    def intent_durable(self, request_id: str) -> None:
+    def intent_durable(self, request: RequestReference) -> None:
         """Confirms an intent that is durable on this disk."""
         if self._replicator is None:
-            self._owner.post(IntentRecorded(request_id, True))
+            self._owner.post(IntentRecorded(request, True))
         else:
-            self._confirm(request_id)
+            self._confirm(request)
 
-    def _confirm(self, request_id: str) -> None:
-        if self._confirmations.confirm(request_id):
-            self._owner.post(IntentRecorded(request_id, True))
+    def _confirm(self, request: RequestReference) -> None:
+        if self._confirmations.confirm(request):
+            self._owner.post(IntentRecorded(request, True))
 
-    def intents_rejected(self, request_ids: Sequence[str]) -> None:
+    def intents_rejected(self, requests: Sequence[RequestReference]) -> None:
         """Rejects requests whose intents are not durable; their callers may retry."""
-        for request_id in request_ids:
-            self._confirmations.abandon(request_id)
-            self._owner.post(IntentRecorded(request_id, False, REJECTION_BACKOFF_NS))
+        for request in requests:
+            self._confirmations.abandon(request)
+            self._owner.post(IntentRecorded(request, False, REJECTION_BACKOFF_NS))
 
     def rebuild_contents(self) -> RebuildContents:
         """Returns the loss, the learned state and the intents of all runs that have ended or are running."""
@@ -327,7 +327,7 @@
         for key, run in known_runs.items():
             stored_run = opened.runs.get(key)
             if stored_run is None or stored_run.id != run.id:
-                self._scheduler.add(PutIntent("", encode_key(key), recorder.record(key, run)))
+                self._scheduler.add(PutIntent(None, encode_key(key), recorder.record(key, run)))
             if run.result is not None and not (stored_run and stored_run.result_stored):
                 self.end(key, run, run.result)
         self._log.info(
--- a/ochrehoist/store/operations.py
+++ b/ochrehoist/store/operations.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ochrehoist.core.request import RequestReference
 from ochrehoist.store.records import IntentRecord, NamedRecord, ResultRecord
 
 
@@ -10,11 +11,10 @@
 class PutIntent:
     """An operation that records an intent, and replaces all records stored under its key.
 
-    `request_id` names the attempt that waits for the commit. It is empty if the run was started by a replaced
-    process.
+    `request` is the attempt that waits for the commit; None if the run was started by a replaced process.
     """
 
-    request_id: str
+    request: RequestReference | None
     key: bytes
     record: IntentRecord
 
--- a/ochrehoist/store/write_queue.py
+++ b/ochrehoist/store/write_queue.py
@@ -7,6 +7,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterator
 
+from ochrehoist.core.request import RequestReference
 from ochrehoist.store.errors import FailureKind
 from ochrehoist.store.operations import DeleteIntent, Operation, PutIntent, PutNamed, PutResult
 from ochrehoist.store.records import ResultRecord
@@ -36,7 +37,7 @@
         self.result_bytes = 0  # total size of the results in `waiting` and `committing`
         self.committing: list[Operation] | None = None
         self.commit_started_at = 0.0
-        self.attempts: dict[str, float] = {}  # start of the wait for the intent, by request id
+        self.attempts: dict[RequestReference, float] = {}  # start of the wait for the intent
         self.failure: FailureKind | None = None
         self.rebuild_needed = False  # whether the stored data can no longer be trusted
         self.retry_at = 0.0
@@ -54,8 +55,8 @@
                 self.results_not_stored += 1
                 return False
             self.result_bytes = result_bytes
-        elif isinstance(operation, PutIntent) and operation.request_id:
-            self.attempts[operation.request_id] = now
+        elif isinstance(operation, PutIntent) and operation.request is not None:
+            self.attempts[operation.request] = now
         elif isinstance(operation, DeleteIntent) and self.key_counts[operation.key]:
             self._withdraw_key(operation.key)
         self._enqueue(now, operation)
@@ -92,8 +93,8 @@
         times = list(self._event_times())
         return max(now, min(times)) if times else None
 
-    def committed(self) -> list[str]:
-        """Handles the end of a successful commit; returns the request ids of attempts that may run."""
+    def committed(self) -> list[RequestReference]:
+        """Handles the end of a successful commit; returns the attempts that may run."""
         group = self._take_committing()
         self.failure = None
         self.retry_delay_s = FIRST_RETRY_DELAY_S
@@ -102,14 +103,13 @@
         for operation in group:
             if isinstance(operation, PutResult):
                 self.result_bytes -= operation.size_bytes
-            elif isinstance(operation, PutIntent):
-                was_waiting = self.attempts.pop(operation.request_id, None) is not None
-                if was_waiting:
-                    ready.append(operation.request_id)
+            elif isinstance(operation, PutIntent) and operation.request in self.attempts:
+                del self.attempts[operation.request]
+                ready.append(operation.request)
         return ready
 
-    def failed(self, now: float, failure: FailureKind) -> list[str]:
-        """Handles a failed commit, of which nothing was stored; returns the request ids of rejected attempts.
+    def failed(self, now: float, failure: FailureKind) -> list[RequestReference]:
+        """Handles a failed commit, of which nothing was stored; returns the rejected attempts.
 
         All waiting attempts are rejected. Other operations stay queued and are retried with exponential
         backoff.
@@ -123,7 +123,7 @@
         self.attempts.clear()
         queued = [self._dequeue() for _ in range(len(self.waiting))]
         for operation in (*group, *queued):
-            if not isinstance(operation, PutIntent) or not operation.request_id:
+            if not isinstance(operation, PutIntent) or operation.request is None:
                 self._enqueue(now, operation)
         return rejected
 
@@ -141,19 +141,19 @@
         self.rebuild_needed = False
         self.committed()
 
-    def take_timed_out(self, now: float) -> list[str]:
-        """Removes timed-out attempts and returns their request ids; their intents are deleted."""
+    def take_timed_out(self, now: float) -> list[RequestReference]:
+        """Removes and returns timed-out attempts; their intents are deleted."""
         timed_out = [
-            request_id for request_id, since in self.attempts.items() if now >= since + self.commit_timeout_s
+            request for request, since in self.attempts.items() if now >= since + self.commit_timeout_s
         ]
         if not timed_out:
             return timed_out
-        for request_id in timed_out:
-            del self.attempts[request_id]
-        request_ids = set(timed_out)
-        self._withdraw(lambda op: isinstance(op, PutIntent) and op.request_id in request_ids)
+        for request in timed_out:
+            del self.attempts[request]
+        removed = set(timed_out)
+        self._withdraw(lambda op: isinstance(op, PutIntent) and op.request in removed)
         for operation in self.committing or ():
-            if isinstance(operation, PutIntent) and operation.request_id in request_ids:
+            if isinstance(operation, PutIntent) and operation.request in removed:
                 self.add(now, DeleteIntent(operation.key))
         return timed_out
 
@@ -198,8 +198,8 @@
                 self._enqueue(enqueued_at, operation)
             elif isinstance(operation, PutResult):
                 self.result_bytes -= operation.size_bytes
-            elif isinstance(operation, PutIntent):
-                self.attempts.pop(operation.request_id, None)
+            elif isinstance(operation, PutIntent) and operation.request is not None:
+                self.attempts.pop(operation.request, None)
 
     def _take_committing(self) -> list[Operation]:
         group = self.committing or []
--- a/tests/core/test_growth.py
+++ b/tests/core/test_growth.py
@@ -269,7 +269,7 @@
         filing_key = "tenant-000001", "class-1", "key"
         intent_record = IntentRecord(filing_key, "r1", 1, 1, None, None, bytes(32))
         key = encode_key(filing_key)
-        steps = [PutIntent("r1", key, intent_record), PutResult(key, ResultRecord("OK", True, bytes(300)))]
+        steps = [PutIntent(None, key, intent_record), PutResult(key, ResultRecord("OK", True, bytes(300)))]
         changes = coalesce(steps)
         self.assertEqual((len(changes.by_key), len(changes.named)), (1, 0))
         changes = coalesce([*steps, DeleteIntent(key)])
--- a/tests/core/test_idempotent_runs.py
+++ b/tests/core/test_idempotent_runs.py
@@ -24,8 +24,8 @@
     def test_a_filing_starts_once_recorded_and_a_read_at_once(self):
         filing, read = self.arrive(), self.arrive(request_class=READ)
         self.assertEqual((self.started, self.journal.calls), ([read.id], [("begin", filing.id)]))
-        self.post_and_step(IntentRecorded(filing.id, True))
-        self.post_and_step(IntentRecorded(filing.id, True))
+        self.post_and_step(IntentRecorded(filing.reference, True))
+        self.post_and_step(IntentRecorded(filing.reference, True))
         self.assertEqual(self.started, [read.id, filing.id])
         self.post_and_step(RunCompleted(filing.reference, RunResult(Outcome.OK, b"done"), S))
         self.assertEqual(self.journal.calls[1:], [("end", "k", b"done")])
@@ -35,22 +35,22 @@
         first = self.arrive()
         retried = self.arrive(retry=True)
         self.assertEqual(self.running(), 1)
-        self.post_and_step(IntentRecorded(first.id, False, S))
+        self.post_and_step(IntentRecorded(first.reference, False, S))
         self.assertEqual((self.answers(first), self.answers(retried)), ([("refused", S)], [("refused", S)]))
         self.assertEqual((self.running(), self.actor.open_requests, self.started), (0, {}, []))
         self.assertEqual(self.journal.calls, [("begin", first.id), ("drop", "k")])
         next_attempt = self.arrive()
-        self.post_and_step(IntentRecorded(next_attempt.id, True))
+        self.post_and_step(IntentRecorded(next_attempt.reference, True))
         self.assertEqual(self.started, [next_attempt.id])
 
     def test_a_filing_whose_caller_has_left_starts_only_for_a_retry(self):
         abandoned = self.arrive()
-        self.post_and_step(CallerDisconnected(abandoned.reference), IntentRecorded(abandoned.id, True))
+        self.post_and_step(CallerDisconnected(abandoned.reference), IntentRecorded(abandoned.reference, True))
         self.assertEqual((self.started, self.running()), ([], 0))
         self.assertEqual(self.journal.calls[-1], ("drop", "k"))
         abandoned = self.arrive("other")
         retried = self.arrive("other", retry=True)
-        self.post_and_step(CallerDisconnected(abandoned.reference), IntentRecorded(abandoned.id, True))
+        self.post_and_step(CallerDisconnected(abandoned.reference), IntentRecorded(abandoned.reference, True))
         self.assertEqual(self.started, [abandoned.id])
         self.post_and_step(RunCompleted(abandoned.reference, RunResult(Outcome.OK, b"done"), S))
         self.assertEqual(self.answers(retried), [("served", b"done")])
@@ -58,14 +58,16 @@
     def test_a_filing_that_never_ran_is_removed_from_the_journal(self):
         filing = self.arrive()
         self.post_and_step(
-            IntentRecorded(filing.id, True), RunCompleted(filing.reference, RunResult(Outcome.UNREACHABLE), 0)
+            IntentRecorded(filing.reference, True),
+            RunCompleted(filing.reference, RunResult(Outcome.UNREACHABLE), 0),
         )
         self.assertEqual(self.journal.calls[-1], ("drop", "k"))
 
     def test_while_the_journal_rejects_only_unknown_filings_are_rejected(self):
         done = self.arrive("done")
         self.post_and_step(
-            IntentRecorded(done.id, True), RunCompleted(done.reference, RunResult(Outcome.OK, b"done"), S)
+            IntentRecorded(done.reference, True),
+            RunCompleted(done.reference, RunResult(Outcome.OK, b"done"), S),
         )
         for rejection, answer in (
             (Rejection(7 * S), ("refused", 7 * S)),
@@ -103,7 +105,7 @@
 
     def test_a_filing_that_arrived_before_the_restore_takes_precedence(self):
         own_filing = self.arrive("k")
-        self.post_and_step(IntentRecorded(own_filing.id, True))
+        self.post_and_step(IntentRecorded(own_filing.reference, True))
         self.restore(k={"result_stored": True})
         self.post_and_step(RunCompleted(own_filing.reference, RunResult(Outcome.OK, b"mine"), S))
         self.assertEqual(self.answers(own_filing), [("served", b"mine")])
@@ -123,7 +125,7 @@
     def test_learned_state_is_restored_at_once_or_when_the_controller_starts(self):
         for n in range(6):
             request = self.arrive(f"k{n}")
-            self.post_and_step(IntentRecorded(request.id, True))
+            self.post_and_step(IntentRecorded(request.reference, True))
             self.now_ns += 300_000_000
             self.post_and_step(RunCompleted(request.reference, RunResult(Outcome.OK), 300_000_000))
         learned_state = snapshot(self.actor.controller)
--- a/tests/core/test_reused_ids.py
+++ b/tests/core/test_reused_ids.py
@@ -47,11 +47,11 @@
     def test_the_result_of_a_filing_is_not_sent_to_a_request_with_the_id_of_an_aborted_duplicate(self):
         # Guards against another filing's result: the duplicates that wait for a run were kept by their ids.
         filing = self.arrive("k")
-        self.post_and_step(IntentRecorded(filing.id, True))
+        self.post_and_step(IntentRecorded(filing.reference, True))
         duplicate = self.arrive("k", retry=True, request_id="same")
         self.post_and_step(CallerDisconnected(duplicate.reference))
         other = self.arrive("other", request_id="same")
-        self.post_and_step(IntentRecorded(other.id, True))
+        self.post_and_step(IntentRecorded(other.reference, True))
         self.post_and_step(RunCompleted(filing.reference, OK, S))
         self.assertEqual(self.answers(other), [])
         self.post_and_step(RunCompleted(other.reference, RunResult(Outcome.OK, b"its own"), S))
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -14,6 +14,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from ochrehoist.core.request import RequestReference
 from ochrehoist.lab.scenario import parse
 from ochrehoist.lab.scenario_runner import ScenarioRun
 from ochrehoist.net.operator_server import call_operator_api
@@ -43,10 +44,10 @@
         self.pending, self.now, self.begun, self.count = PendingIntents(self.names), 0.0, {}, 0
         self.sent_at, self.keys = {}, {}
 
-    def is_due(self, request_id):
-        if self.now - self.sent_at.get(request_id, -1.0) < RESEND_INTERVAL_S:
+    def is_due(self, request):
+        if self.now - self.sent_at.get(request, -1.0) < RESEND_INTERVAL_S:
             return False
-        self.sent_at[request_id] = self.now
+        self.sent_at[request] = self.now
         return True
 
     def run(self, duration_s, loss):
@@ -56,8 +57,9 @@
             if self.rng.random() < 0.3:
                 self.count += 1
                 key = f"key{self.count}".encode()
-                self.keys[f"r{self.count}"] = key, self.now
-                self.pending.add(f"r{self.count}", key, WINDOW, 0.25, self.now)
+                request = RequestReference(f"r{self.count}", self.count)
+                self.keys[request] = key, self.now
+                self.pending.add(request, key, WINDOW, 0.25, self.now)
                 if not self.wait_for_quorum:
                     self.begun[key] = self.now
             for name, data in self.pending.messages(self.now, self.is_due):
@@ -66,8 +68,8 @@
                     recorded = self.rng.random() >= loss and self.logs[name].record("w", message, self.now)
                     if recorded and self.rng.random() >= loss:
                         number = decode("tell", data).number
-                        for request_id in self.pending.acknowledge(name, number, self.now):
-                            key, arrived_at = self.keys[request_id]
+                        for request in self.pending.acknowledge(name, number, self.now):
+                            key, arrived_at = self.keys[request]
                             self.begun[key] = arrived_at
             self.pending.remove_timed_out(self.now)
             if self.rng.random() < 0.004:
--- a/tests/store/store_folder.py
+++ b/tests/store/store_folder.py
@@ -53,7 +53,7 @@
         if any(operation.key == key for operation in group):
             continue
         if choice < 0.5:
-            group.append(PutIntent(record.request_id, key, record))
+            group.append(PutIntent(None, key, record))
             contents_after[key] = (record.request_id, None)
         elif key in contents_after and contents_after[key][1] is None and choice < 0.8:
             result = ResultRecord("OK", True, random_source.randbytes(random_source.randrange(2000)))
--- a/tests/store/test_disk_errors.py
+++ b/tests/store/test_disk_errors.py
@@ -44,13 +44,11 @@
                 encode_key(filing(2).idempotency_key), ResultRecord("OK", True, bytes(30_000))
             )
             with self.assertRaises(StoreFailedError) as raised:
-                store.commit(
-                    [PutIntent(record.request_id, encode_key(record.idempotency_key), record), large_result]
-                )
+                store.commit([PutIntent(None, encode_key(record.idempotency_key), record), large_result])
             self.assertEqual(raised.exception.kind, FailureKind.FULL)
             full_after.clear()
             self.assertEqual(store.read_contents().intents, [])
-        store.commit([PutIntent(record.request_id, encode_key(record.idempotency_key), record)])
+        store.commit([PutIntent(None, encode_key(record.idempotency_key), record)])
         self.assertEqual(store.read_contents().intents, [record])
 
     def test_exceeding_the_size_limit_of_the_store_is_a_full_disk_error(self):
@@ -74,15 +72,13 @@
         committed, uncommitted = filing(1), filing(2)
         store.commit(
             [
-                PutIntent(committed.request_id, encode_key(committed.idempotency_key), committed),
+                PutIntent(None, encode_key(committed.idempotency_key), committed),
                 PutResult(encode_key(committed.idempotency_key), ResultRecord("OK", True, b"result")),
             ]
         )
         sync_fails.append(True)
         with self.assertRaises(StoreFailedError) as raised:
-            store.commit(
-                [PutIntent(uncommitted.request_id, encode_key(uncommitted.idempotency_key), uncommitted)]
-            )
+            store.commit([PutIntent(None, encode_key(uncommitted.idempotency_key), uncommitted)])
         self.assertEqual(raised.exception.kind, FailureKind.SYNC)
         sync_fails.clear()
         opened = type("Opened", (), {"database": store, "set_aside": []})()
--- a/tests/store/test_write_queue.py
+++ b/tests/store/test_write_queue.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from ochrehoist.core.request import RequestReference
 from ochrehoist.store.errors import FailureKind
 from ochrehoist.store.operations import DeleteIntent, KeyChange, PutIntent, PutNamed, PutResult, coalesce
 from ochrehoist.store.records import (
@@ -21,6 +22,11 @@
 from tests.store.store_values import intent
 
 
+def reference(number):
+    """Names the request of the n-th attempt."""
+    return RequestReference(f"r{number}", number)
+
+
 class WriteGroupsTest(unittest.TestCase):
     """Groups of operations and the outcomes of their commits."""
 
@@ -29,17 +35,27 @@
         self.queue.is_open = True
 
     def add_intent(self, number, now=0.0):
-        self.queue.add(now, PutIntent(f"r{number}", b"k%d" % number, intent(number)))
+        self.queue.add(now, PutIntent(reference(number), b"k%d" % number, intent(number)))
 
     def test_one_group_is_committed_at_a_time_while_operations_queue_for_the_next(self):
         self.add_intent(1)
         self.assertIsNone(self.queue.next_group(0.0005))
-        self.assertEqual([op.request_id for op in self.queue.next_group(0.001)], ["r1"])
+        self.assertEqual([op.request for op in self.queue.next_group(0.001)], [reference(1)])
         self.add_intent(2, 0.002)
         self.assertIsNone(self.queue.next_group(0.1))
-        self.assertEqual(self.queue.committed(), ["r1"])
+        self.assertEqual(self.queue.committed(), [reference(1)])
         self.assertEqual(len(self.queue.next_group(0.1)), 1)
 
+    def test_the_commit_of_a_timed_out_attempt_does_not_confirm_a_later_one_of_its_id(self):
+        # Guards against a filing that runs twice after a crash: it began before its own intent was on disk.
+        self.queue.add(0.0, PutIntent(RequestReference("same", 1), b"k1", intent(1)))
+        self.assertEqual(len(self.queue.next_group(0.1)), 1)
+        self.assertEqual(self.queue.take_timed_out(0.26), [RequestReference("same", 1)])
+        self.queue.add(0.27, PutIntent(RequestReference("same", 2), b"k2", intent(2)))
+        self.assertEqual(self.queue.committed(), [])
+        self.queue.next_group(0.5)
+        self.assertEqual(self.queue.committed(), [RequestReference("same", 2)])
+
     def test_operations_without_a_waiting_attempt_join_a_group_or_are_committed_after_a_delay(self):
         self.queue.add(0.0, DeleteIntent(b"k9"))
         self.assertIsNone(self.queue.next_group(0.009))
@@ -56,10 +72,10 @@
         changes = coalesce(
             [
                 DeleteIntent(b"a"),
-                PutIntent("r1", b"a", first_intent),
+                PutIntent(reference(1), b"a", first_intent),
                 PutResult(b"a", result),
                 PutResult(b"b", result),
-                PutIntent("r2", b"c", second_intent),
+                PutIntent(reference(2), b"c", second_intent),
                 DeleteIntent(b"c"),
                 PutNamed("x", learned),
             ]
@@ -86,10 +102,10 @@
         self.queue.next_group(0.001)
         self.add_intent(2, 0.01)
         self.assertEqual(self.queue.next_event_at(0.01), 0.25)
-        self.assertEqual(self.queue.take_timed_out(0.25), ["r1"])
+        self.assertEqual(self.queue.take_timed_out(0.25), [reference(1)])
         self.assertEqual(self.queue.rejection_reason(0.2), None)
         self.assertIsNotNone(self.queue.rejection_reason(0.252))
-        self.assertEqual(self.queue.take_timed_out(0.26), ["r2"])
+        self.assertEqual(self.queue.take_timed_out(0.26), [reference(2)])
         self.assertEqual(self.queue.committed(), [])
         self.assertEqual(self.queue.next_group(5.0), [DeleteIntent(b"k1")])
         self.queue.committed()
@@ -100,7 +116,7 @@
         self.add_intent(1)
         self.queue.next_group(0.001)
         self.add_intent(2, 0.002)
-        self.assertEqual(self.queue.failed(0.01, FailureKind.FULL), ["r1", "r2"])
+        self.assertEqual(self.queue.failed(0.01, FailureKind.FULL), [reference(1), reference(2)])
         self.assertIn("room", self.queue.rejection_reason(0.02))
         self.assertIsNone(self.queue.next_group(0.01 + FIRST_RETRY_DELAY_S - 0.001))
         self.assertEqual([type(op) for op in self.queue.next_group(0.01 + FIRST_RETRY_DELAY_S)], [PutResult])
@@ -157,13 +173,13 @@
         super().__init__()
         self.queue, self.now, self.attempt_count = WriteQueue(0.001, 0.25), 0.0, 0
         self.queue.is_open = True
-        self.waiting_ids, self.resolved, self.group = set(), {}, None
+        self.waiting, self.resolved, self.group = set(), {}, None
 
-    def resolve(self, request_ids, outcome):
-        for request_id in request_ids:
-            assert request_id in self.waiting_ids and request_id not in self.resolved
-            self.resolved[request_id] = outcome
-            self.waiting_ids.discard(request_id)
+    def resolve(self, requests, outcome):
+        for request in requests:
+            assert request in self.waiting and request not in self.resolved
+            self.resolved[request] = outcome
+            self.waiting.discard(request)
 
     @rule(key_distance=st.integers(0, 3))
     def add_intent(self, key_distance):
@@ -171,11 +187,11 @@
         if self.queue.rejection_reason(self.now):
             return
         self.attempt_count += 1
-        self.waiting_ids.add(f"r{self.attempt_count}")
+        self.waiting.add(reference(self.attempt_count))
         self.queue.add(
             self.now,
             PutIntent(
-                f"r{self.attempt_count}",
+                reference(self.attempt_count),
                 b"k%d" % (self.attempt_count - min(key_distance, self.attempt_count)),
                 intent(self.attempt_count),
             ),
@@ -205,7 +221,7 @@
     @precondition(lambda self: self.group is not None)
     @rule()
     def commit(self):
-        group_ids = {op.request_id for op in self.group if isinstance(op, PutIntent)}
+        group_ids = {op.request for op in self.group if isinstance(op, PutIntent)}
         self.group = None
         if self.queue.rebuild_needed:
             self.queue.rebuilt()
@@ -228,9 +244,9 @@
             if isinstance(op, PutResult)
         )
         assert self.queue.result_bytes == queued_bytes
-        assert set(self.queue.attempts) == self.waiting_ids
+        assert set(self.queue.attempts) == self.waiting
         assert len(self.queue.waiting) == len(self.queue.enqueued_at)
-        if self.waiting_ids:
+        if self.waiting:
             assert self.queue.next_event_at(self.now) <= self.now + 0.25
 
 
