Answer a call only by its own responder, also where its sequence id is used again

Callers would see: a failure or a rejection for a call that runs all the same, if a router uses the sequence id of an aborted call again before the core has taken the abort. Cause: the Thrift front's answers named calls by sequence ids alone. Change: the connection keeps requests by sequence id, and takes an answer only from the open request's responder.

--- a/ochrehoist/net/thrift_connection.py
+++ b/ochrehoist/net/thrift_connection.py
@@ -6,7 +6,7 @@
 from ochrehoist.admission.settings import RequestClass
 from ochrehoist.core.messages import CallerDisconnected, RequestArrived
 from ochrehoist.core.metrics import RequestCounter
-from ochrehoist.core.request import RequestReference
+from ochrehoist.core.request import InboundRequest
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.net import thrift
 from ochrehoist.net.front import MESSAGE_ARRIVAL_TIMEOUT_S, FrontConnection, FrontContext
@@ -53,18 +53,20 @@
 
 
 class ThriftResponder:
-    """The Responder of one `invoke` call."""
+    """The Responder of one `invoke` call.
 
-    __slots__ = ("_connection", "_sequence_id")
+    Attributes:
+        sequence_id: Chosen by the router, which may use it for another call once this one is aborted.
+    """
+
+    __slots__ = ("_connection", "sequence_id")
 
     def __init__(self, connection: "ThriftConnection", sequence_id: int) -> None:
+        self.sequence_id = sequence_id
         self._connection = connection
-        self._sequence_id = sequence_id
 
     def _reply(self, field_id: int, value: bytes) -> None:
-        self._connection.answer(
-            self._sequence_id, thrift.encode_reply(INVOKE, self._sequence_id, field_id, value)
-        )
+        self._connection.answer(self, thrift.encode_reply(INVOKE, self.sequence_id, field_id, value))
 
     def served(self, result: RunResult) -> bool:
         """See core.protocols.Responder."""
@@ -111,7 +113,7 @@
 
     def __init__(self, front: ThriftFrontContext, loop: Loop, stream: Stream, number: int) -> None:
         super().__init__(loop, stream, number)
-        self.open_requests: dict[int, RequestReference] = {}
+        self.open_requests: dict[int, InboundRequest] = {}
         self.request_count = 0
         self.replied = False
         self.only_pinged = False
@@ -154,10 +156,12 @@
         size = int.from_bytes(buffer[:FRAME_HEADER_BYTES], "big")
         return len(buffer) >= FRAME_HEADER_BYTES + size
 
-    def answer(self, sequence_id: int, reply: bytes) -> None:
+    def answer(self, responder: ThriftResponder, reply: bytes) -> None:
         """Sends the reply to a call, unless the call was aborted."""
-        if self.open_requests.pop(sequence_id, None) is None:
+        request = self.open_requests.get(responder.sequence_id)
+        if request is None or request.responder is not responder:
             return
+        del self.open_requests[responder.sequence_id]
         self.last_used_at_s = time.monotonic()
         self._write(reply)
         if self.open_requests:
@@ -228,7 +232,7 @@
                 continue
             request = self.open_requests.pop(message.args.read_i32(), None)
             if request is not None:
-                self._front.core.post(CallerDisconnected(request))
+                self._front.core.post(CallerDisconnected(request.reference))
 
     def _invoke(self, message: thrift.Message) -> None:
         values: dict[bytes, bytes] | None = None
@@ -262,7 +266,7 @@
         request = front.read_request(values, body, ThriftResponder(self, sequence_id))
         self.only_pinged = False
         self.request_count += 1
-        self.open_requests[sequence_id] = request.reference
+        self.open_requests[sequence_id] = request
         front.core.post(RequestArrived(request))
 
     def _reject_early(self, sequence_id: int, values: dict[bytes, bytes]) -> bool:
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -139,7 +139,7 @@
     def _connection_closed(self, connection: ThriftConnection) -> None:
         super()._connection_closed(connection)
         for request in connection.open_requests.values():
-            self.core.post(CallerDisconnected(request, gave_up=False))
+            self.core.post(CallerDisconnected(request.reference, gave_up=False))
         connection.open_requests.clear()
 
     def _eviction_rank(self, connection: ThriftConnection, now_s: float) -> tuple[EvictionRank, float]:
--- a/tests/net/test_reused_ids.py
+++ b/tests/net/test_reused_ids.py
@@ -51,6 +51,30 @@
         self.assert_first_request_is_answered()
 
 
+class ReusedSequenceIdTest(WorkerTestCase):
+    """A router that uses the sequence id of an aborted call again."""
+
+    def test_the_answer_of_an_aborted_call_is_not_sent_to_the_next_call_of_its_sequence_id(self):
+        # Guards against a wrong answer to a request that runs: answers named calls by sequence ids alone.
+        program = self.start()
+        router = program.thrift_router()
+        program.serve_one(router)
+
+        def send():
+            aborted = router.invoke(
+                t0="1"
+            )  # long overdue: the core fails it at once, before it reads the abort
+            router.abort(aborted)
+            router.sequence_id = aborted - 1
+            router.invoke(body=b"second")
+
+        send_in_one_write(router, send)
+        run = program.kernel.next_run()
+        self.assertEqual(run.body, b"second")
+        program.kernel.reap(run.request_id, body=b"served")
+        self.assertEqual(router.answer(router.sequence_id), ("Answer", {}, b"served"))
+
+
 class CopiedIdInReplacementTest(WorkerTestCase):
     """A client of a replaced process that uses the id of an open request of the new process."""
 
