End a filing's run only once, so that a repeat under its id leaves the result

Callers would see: "failed" for each later repeat of a filing that succeeded, after a client sent it again with its key and its id. Found on the related paths of the disconnect by id, not in service. Cause: run_ended and remove_unstarted_run knew a run by the id of its attempt. Change: only a run in progress can end or be removed. Result: the new test of tests/core/test_reused_ids.py failed before (the later repeat got "failed"), passes now; tests/core: 43 passed.

--- a/ochrehoist/core/idempotency_table.py
+++ b/ochrehoist/core/idempotency_table.py
@@ -136,13 +136,18 @@
         self._drop_result(key)
         self.runs[key] = IdempotentRun(request_id, window_end_ns + WINDOW_MARGIN_NS, fingerprint)
 
+    def run_in_progress(self, key: IdempotencyKey, request_id: str) -> IdempotentRun | None:
+        """Returns the run of this attempt; None once it has ended, since a later attempt may have its id."""
+        run = self.runs.get(key)
+        return run if run is not None and run.id == request_id and not run.has_ended else None
+
     def remove_unstarted_run(self, key: IdempotencyKey, request_id: str) -> list[RequestReference]:
         """Removes a run that was not started or never executed, so that a later attempt may run.
 
         Returns the duplicates that waited for it.
         """
-        run = self.runs.get(key)
-        if run is None or run.id != request_id:
+        run = self.run_in_progress(key, request_id)
+        if run is None:
             return []
         del self.runs[key]
         return list(run.waiters)
@@ -151,8 +156,8 @@
         self, key: IdempotencyKey, request_id: str, result: RunResult, size_bytes: int
     ) -> list[RequestReference]:
         """Stores the result of a run and returns the duplicates that waited for it."""
-        run = self.runs.get(key)
-        if run is None or run.id != request_id:
+        run = self.run_in_progress(key, request_id)
+        if run is None:
             return []
         waiters = list(run.waiters)
         run.waiters = ()
--- a/ochrehoist/core/idempotent_runs.py
+++ b/ochrehoist/core/idempotent_runs.py
@@ -138,15 +138,17 @@
     def run_ended(self, request: InboundRequest, key: IdempotencyKey, result: RunResult) -> None:
         """Stores the result of a run and answers the duplicates that wait for it."""
         core = self._core
+        run = core.idempotency.run_in_progress(key, request.id)
+        if run is None:  # an attempt that was not run, as the filing ran before
+            return
         if result.outcome in NEVER_RAN:
             waiters = core.idempotency.remove_unstarted_run(key, request.id)
             if self._journal is not None:
                 self._journal.never_ran(key)
         else:
             size_bytes = len(result.body) + result.detail_bytes + RESULT_OVERHEAD_BYTES
-            run = core.idempotency.runs.get(key)
             waiters = core.idempotency.run_ended(key, request.id, result, size_bytes)
-            if self._journal is not None and run is not None and run.id == request.id:
+            if self._journal is not None:
                 self._journal.end(key, run, result)
         for waiter in waiters:
             core.post(DuplicateResolved(waiter, result))
--- a/tests/core/test_reused_ids.py
+++ b/tests/core/test_reused_ids.py
@@ -84,6 +84,16 @@
         self.post_and_step(RunCompleted(second.reference, OK, S))
         self.assertEqual(self.answers(second), [("served", b"done")])
 
+    def test_a_repeat_under_the_same_id_leaves_the_result_of_its_filing(self):
+        # Guards against a lost result: the repeat that was not run overwrote the result of the run by its id.
+        filing = self.arrive("k", request_id="same")
+        self.post_and_step(IntentRecorded(filing.reference, True), RunCompleted(filing.reference, OK, S))
+        repeat = self.arrive("k", retry=True, request_id="same")
+        retry = self.arrive("k", retry=True)
+        self.assertEqual([kind for kind, _ in self.answers(repeat)], ["failed"])
+        self.assertEqual((self.started, self.answers(retry)), (["same"], [("served", b"done")]))
+        self.assertEqual(self.journal.calls, [("begin", "same"), ("end", "k", b"done")])
+
 
 if __name__ == "__main__":
     unittest.main()
