Name requests by references in controller and key table, so a copied id takes no key

Cause: the table kept one key for each holder's id. The copy overwrote the entry of the ended filing, whose record lives on for its window, and took the entry with it when it was dropped; the removal of the expired record raised a key error in the core's due work. The controller had the same confusion in its open and ended requests and keys. Change: ids in the controller's events and actions are any unique names; the core passes references. Records, runs, handover lines (`serial`, absent in lines of earlier releases) and the rebuild of a store use them too.

--- a/benchmarks/scaling/core_probes.py
+++ b/benchmarks/scaling/core_probes.py
@@ -15,7 +15,7 @@
 from ochrehoist.core.handover_snapshot import snapshot_lines
 from ochrehoist.core.idempotency_table import IdempotencyTable
 from ochrehoist.core.metrics import Metrics
-from ochrehoist.core.request import NO_SERIAL, RequestReference
+from ochrehoist.core.request import NO_SERIAL, RequestReference, new_reference
 from ochrehoist.core.results import RunResult
 from ochrehoist.core.snapshot import CoreSnapshot
 from ochrehoist.recovery.intent_log import IntentLog
@@ -145,10 +145,10 @@
     table = IdempotencyTable(READ_DELAY_NS, MAX_RESULT_BYTES)
     for number in range(size):
         key = f"tenant-{number % KEY_TENANTS:06}", "class-1", f"key {number:032}"
-        request_id = f"r{number}"
-        table.retain(key, request_id, WINDOW_S * S, FINGERPRINT)
-        table.run_started(key, request_id, WINDOW_S * S, FINGERPRINT)
-        table.run_ended(key, request_id, RunResult(Outcome.OK, RESULT_BODY), WINDOW_S)
+        request = new_reference(f"r{number}")
+        table.retain(key, request, WINDOW_S * S, FINGERPRINT)
+        table.run_started(key, request, WINDOW_S * S, FINGERPRINT)
+        table.run_ended(key, request, RunResult(Outcome.OK, RESULT_BODY), WINDOW_S)
     return table
 
 
--- a/ochrehoist/admission/actions.py
+++ b/ochrehoist/admission/actions.py
@@ -5,19 +5,21 @@
 
 from dataclasses import dataclass
 
+from ochrehoist.admission.events import RequestId
+
 
 @dataclass(slots=True)
 class StartRun:
     """Instruction to hand the request to its executor."""
 
-    id: str
+    id: RequestId
 
 
 @dataclass(slots=True)
 class RejectRequest:
     """Final answer to a request that was rejected without having run."""
 
-    id: str
+    id: RequestId
     retry_after_ns: int
     no_retry: bool  # the caller should not retry on other instances either
 
@@ -26,21 +28,21 @@
 class FailRequest:
     """Final error answer; the request may or may not have run."""
 
-    id: str
+    id: RequestId
 
 
 @dataclass(slots=True)
 class CancelRun:
     """Instruction to cancel the run; sent only where the site allows preemption."""
 
-    id: str
+    id: RequestId
 
 
 @dataclass(slots=True)
 class StartDownstreamCall:
     """Instruction to make the downstream call of the request and abandon it at `stop_at_ns`."""
 
-    id: str
+    id: RequestId
     stop_at_ns: int
 
 
@@ -48,14 +50,14 @@
 class SkipDownstreamCall:
     """Instruction to continue the run without its downstream call and answer with the fallback."""
 
-    id: str
+    id: RequestId
 
 
 @dataclass(slots=True)
 class RetainKey:
     """Instruction to keep the idempotency key of the request for `ttl_ns`."""
 
-    id: str
+    id: RequestId
     ttl_ns: int
 
 
@@ -63,14 +65,14 @@
 class ReleaseKey:
     """Instruction to delete the idempotency key of a request that never ran."""
 
-    id: str
+    id: RequestId
 
 
 @dataclass(slots=True)
 class AttachDuplicate:
     """Instruction to answer a duplicate with the result of the request that it repeats."""
 
-    id: str
+    id: RequestId
 
 
 @dataclass(slots=True)
--- a/ochrehoist/admission/concurrency.py
+++ b/ochrehoist/admission/concurrency.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from ochrehoist.admission.events import ConcurrencyLimits
+from ochrehoist.admission.events import ConcurrencyLimits, RequestId
 from ochrehoist.admission.job import Job, JobState
 from ochrehoist.admission.service_rate import SURVIVABLE_SHARE
 from ochrehoist.admission.settings import AdmissionSettings
@@ -35,7 +35,7 @@
     def __init__(self, settings: AdmissionSettings) -> None:
         self.running = 0
         self.calling = 0
-        self.awaiting_call: dict[str, Job] = {}
+        self.awaiting_call: dict[RequestId, Job] = {}
         self.limits = ConcurrencyLimits()
         self._settings = settings
         self._running_by_class = [0] * len(settings.classes)
--- a/ochrehoist/admission/controller.py
+++ b/ochrehoist/admission/controller.py
@@ -39,6 +39,7 @@
     Outcome,
     RequestAbandoned,
     RequestCompleted,
+    RequestId,
     RequestReceived,
     RunAdopted,
     TenantsReplaced,
@@ -88,7 +89,7 @@
         rng = random.Random(seed)
         self.settings = settings
         self.now_ns = 0
-        self.jobs: dict[str, Job] = {}  # open requests by id
+        self.jobs: dict[RequestId, Job] = {}  # open requests by id
         self._actions: list[Action] = []  # actions for the current event
         self.health = HealthMonitor(cores)
         self.shutdown = GracefulShutdown(settings.drain_grace_ns)
--- a/ochrehoist/admission/events.py
+++ b/ochrehoist/admission/events.py
@@ -3,6 +3,7 @@
 Times and durations are whole nanoseconds (`_ns`); indices refer to the tuples of `AdmissionSettings`.
 """
 
+from collections.abc import Hashable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -10,6 +11,10 @@
 
 UNLIMITED = 1 << 30
 
+# Identifies a request, open or ended. Whoever passes events to the controller chooses it, and must never give
+# it to a second request; the ids that remote callers choose are not unique.
+RequestId = Hashable
+
 
 class Outcome(Enum):
     """How a run or a downstream call ended."""
@@ -37,7 +42,7 @@
 class RequestReceived:
     """A request that was read completely and waits for a decision."""
 
-    id: str
+    id: RequestId
     class_index: int
     tenant_index: int | None = None
     routing_key: str | None = None
@@ -49,7 +54,7 @@
     is_write: bool = False
     caller: int = 0
     unread_ns: int = 0  # time between arrival and reading
-    duplicate_of: str | None = None  # id of an earlier attempt with the same idempotency key
+    duplicate_of: RequestId | None = None  # id of an earlier attempt with the same idempotency key
     cost_multiple: float = 1.0  # relative to the usual cost of the class; requests above 1 share a limit
 
 
@@ -66,7 +71,7 @@
 class RequestCompleted:
     """End of the run of a request, or of the run that a duplicate is attached to."""
 
-    id: str
+    id: RequestId
     outcome: Outcome
     duration_ns: int
 
@@ -75,14 +80,14 @@
 class DownstreamCallNeeded:
     """A running request that has reached its downstream call."""
 
-    id: str
+    id: RequestId
 
 
 @dataclass(slots=True)
 class DownstreamCallEnded:
     """End of the downstream call of a request."""
 
-    id: str
+    id: RequestId
     outcome: Outcome
     duration_ns: int
 
@@ -91,7 +96,7 @@
 class RequestAbandoned:
     """A request whose caller no longer waits for the answer."""
 
-    id: str
+    id: RequestId
     gave_up: bool = True  # the caller gave up; False where its connection was lost
 
 
--- a/ochrehoist/admission/idempotency.py
+++ b/ochrehoist/admission/idempotency.py
@@ -1,15 +1,18 @@
 """Index of the retained idempotency keys, and of ended requests that a duplicate may refer to."""
 
+import itertools
 from heapq import heappop, heappush
 from typing import NamedTuple
 
+from ochrehoist.admission.events import RequestId
 from ochrehoist.admission.job import Job
 from ochrehoist.admission.settings import AdmissionSettings, Idempotency
 
 
 class _Expiry(NamedTuple):
     at_ns: int
-    job_id: str
+    number: int  # orders expiries of the same time, since ids need not be comparable
+    job_id: RequestId
     is_key: bool  # True: the key in `retained` expires; False: the request in `ended`
 
 
@@ -17,10 +20,11 @@
     """Requests whose keys are retained, and ended requests of which a duplicate may arrive."""
 
     def __init__(self, settings: AdmissionSettings) -> None:
-        self.retained: dict[str, Job] = {}
-        self.ended: dict[str, Job] = {}
+        self.retained: dict[RequestId, Job] = {}
+        self.ended: dict[RequestId, Job] = {}
         self._clock_step_ns = settings.clock_step_ns
         self._expiries: list[_Expiry] = []
+        self._expiry_numbers = itertools.count()
 
     def retain(self, job: Job, now_ns: int) -> int:
         """Retains the key of a request until its idempotency window ends; returns the time left in ns."""
@@ -29,7 +33,7 @@
         ttl_ns = max(step_ns, window_ends_ns - now_ns)
         job.key_retained = True
         self.retained[job.request.id] = job
-        heappush(self._expiries, _Expiry(now_ns + ttl_ns, job.request.id, True))
+        self._schedule_expiry(now_ns + ttl_ns, job, True)
         return ttl_ns
 
     def release(self, job: Job) -> None:
@@ -44,7 +48,10 @@
             return
         self.ended[job.request.id] = job
         retention_ns = 2 * job.request_class.idempotency_window_ns + job.request_class.deadline_ns
-        heappush(self._expiries, _Expiry(now_ns + retention_ns, job.request.id, False))
+        self._schedule_expiry(now_ns + retention_ns, job, False)
+
+    def _schedule_expiry(self, at_ns: int, job: Job, is_key: bool) -> None:
+        heappush(self._expiries, _Expiry(at_ns, next(self._expiry_numbers), job.request.id, is_key))
 
     def expire(self, now_ns: int) -> None:
         """Removes keys and ended requests whose retention time is over."""
--- a/ochrehoist/admission/request_queue.py
+++ b/ochrehoist/admission/request_queue.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from ochrehoist.admission.concurrency import ConcurrencyTracker
+from ochrehoist.admission.events import RequestId
 from ochrehoist.admission.job import Job
 from ochrehoist.admission.priority import PriorityModel
 from ochrehoist.units import NS_PER_S
@@ -19,8 +20,8 @@
 
     def __init__(self, weighs_work: bool, concurrency: ConcurrencyTracker, priority: PriorityModel) -> None:
         """With `weighs_work` the weight of a request counts per unit of its work."""
-        self.jobs: dict[str, Job] = {}
-        self.groups: dict[GroupKey, dict[str, Job]] = {}
+        self.jobs: dict[RequestId, Job] = {}
+        self.groups: dict[GroupKey, dict[RequestId, Job]] = {}
         self.newest: Job | None = None  # the last request queued during the current event
         self._evaluated_at_ns = 0
         self._weighs_work = weighs_work
--- a/ochrehoist/core/action_handlers.py
+++ b/ochrehoist/core/action_handlers.py
@@ -24,18 +24,18 @@
 from ochrehoist.admission.settings import BackpressureSignal
 from ochrehoist.core.context import CoreContext
 from ochrehoist.core.messages import RunCompleted
-from ochrehoist.core.request import NO_SERIAL, RequestReference
+from ochrehoist.core.request import RequestReference
 from ochrehoist.core.results import FailureReason, RunResult
 
 
 def start_run(core: CoreContext, action: StartRun) -> None:
     """Starts the run of a request; a filing is recorded in the journal first."""
-    request = core.open_requests.get(action.id)
+    request = core.open_request(action.id)
     if request is None:
         # The request has ended already, for example after a fault. Without a completion the controller
         # would count it as running forever.
-        ended = RequestReference(action.id, NO_SERIAL)
-        core.post(RunCompleted(ended, RunResult(Outcome.NOT_STARTED), 0))
+        assert isinstance(action.id, RequestReference)
+        core.post(RunCompleted(action.id, RunResult(Outcome.NOT_STARTED), 0))
         return
     if request.started:
         return
@@ -51,14 +51,14 @@
         core.post(RunCompleted(request.reference, RunResult(Outcome.FAILED), 0))
         return
     window_end_ns = request.arrived_ns + request.request_class.idempotency_window_ns
-    core.idempotency.run_started(key, request.id, window_end_ns, request.fingerprint)
+    core.idempotency.run_started(key, request.reference, window_end_ns, request.fingerprint)
     request.started = True
     core.idempotent_runs.record_and_start(request)
 
 
 def reject_request(core: CoreContext, action: RejectRequest) -> None:
     """Rejects a request that did not run; the limiter may increase its Retry-After."""
-    request = core.open_requests.get(action.id)
+    request = core.open_request(action.id)
     if request is None:
         return
     retry_after_ns = action.retry_after_ns
@@ -69,28 +69,29 @@
 
 def fail_request(core: CoreContext, action: FailRequest) -> None:
     """Fails a request that has reached its deadline."""
-    request = core.open_requests.get(action.id)
+    request = core.open_request(action.id)
     if request is not None:
         core.responses.fail(request, FailureReason.DEADLINE_PASSED)
 
 
 def retain_key(core: CoreContext, action: RetainKey) -> None:
     """Makes the request the holder of its idempotency key."""
-    request = core.open_requests.get(action.id)
+    request = core.open_request(action.id)
     if request is not None and request.idempotency_key is not None:
         core.idempotency.retain(
-            request.idempotency_key, request.id, core.now_ns + action.ttl_ns, request.fingerprint
+            request.idempotency_key, request.reference, core.now_ns + action.ttl_ns, request.fingerprint
         )
 
 
 def release_key(core: CoreContext, action: ReleaseKey) -> None:
     """Releases the idempotency key that the request holds."""
+    assert isinstance(action.id, RequestReference)
     core.idempotency.release(action.id)
 
 
 def attach_duplicate(core: CoreContext, action: AttachDuplicate) -> None:
     """Attaches a duplicate to the run that it duplicates, so that it is answered with the same result."""
-    request = core.open_requests.get(action.id)
+    request = core.open_request(action.id)
     if request is not None:
         core.idempotent_runs.attach(request)
 
--- a/ochrehoist/core/actor.py
+++ b/ochrehoist/core/actor.py
@@ -28,7 +28,7 @@
 from ochrehoist.core.idempotency_table import IdempotencyTable
 from ochrehoist.core.message_handlers import MESSAGE_HANDLERS
 from ochrehoist.core.messages import RunCompleted
-from ochrehoist.core.request import InboundRequest
+from ochrehoist.core.request import InboundRequest, RequestReference
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.core.snapshot import CoreSnapshot
 from ochrehoist.units import NS_PER_MS, NS_PER_S
@@ -168,7 +168,8 @@
 
     def _fail_after_fault(self, event: Event) -> None:
         """Fails the request that the controller could not decide on because it raised, unless it runs."""
-        request = self.open_requests.get(getattr(event, "id", ""))
+        request_id = getattr(event, "id", None)
+        request = None if request_id is None else self.open_request(request_id)
         if request is not None and not request.answered and not request.started:
             self.responses.fail(request, FailureReason.INTERNAL)
             message_handlers.release_slot(self, request)
@@ -178,13 +179,13 @@
         if self.limiter is not None:
             request.cost_multiple = self.limiter.estimate_cost(request, self.now_ns)
         key = request.idempotency_key
-        original: str | None = None
+        original: RequestReference | None = None
         if key is not None:
-            original = self.idempotency.original_request_id(key, request.arrived_ns)
+            original = self.idempotency.original_request(key, request.arrived_ns)
             if original is not None:
                 self.idempotent_runs.adopt_if_restored(key)
         return RequestReceived(
-            id=request.id,
+            id=request.reference,
             class_index=self.class_indices[request.request_class.name],
             tenant_index=self.tenants.position(request.tenant),
             routing_key=request.routing_key,
@@ -224,7 +225,7 @@
     def hand_over(self, send: SendLine, codec: DetailCodec) -> Forwarder:
         """Hands control to the other process; this core only forwards messages afterwards."""
         self.forwarder = Forwarder(
-            dict(self.open_requests), send, codec, self.responses, self.clock, self.wall_clock
+            dict(self.open_requests), send, codec, self.responses, self.faults, self.clock, self.wall_clock
         )
         self.controller = None
         self.responses.clear()
--- a/ochrehoist/core/arrival_checks.py
+++ b/ochrehoist/core/arrival_checks.py
@@ -41,7 +41,7 @@
 def is_duplicate(core: CoreContext, request: InboundRequest) -> bool:
     """Returns whether another attempt of the same filing is known."""
     key = request.idempotency_key
-    return key is not None and core.idempotency.original_request_id(key, request.arrived_ns) is not None
+    return key is not None and core.idempotency.original_request(key, request.arrived_ns) is not None
 
 
 def _has_conflict(core: CoreContext, request: InboundRequest, key: IdempotencyKey) -> bool:
--- a/ochrehoist/core/context.py
+++ b/ochrehoist/core/context.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from ochrehoist.admission.controller import AdmissionController
-from ochrehoist.admission.events import Event, RequestReceived
+from ochrehoist.admission.events import Event, RequestId, RequestReceived
 from ochrehoist.admission.settings import AdmissionSettings, Tenant
 from ochrehoist.core.deadlines import Deadlines
 from ochrehoist.core.forwarder import Forwarder
@@ -16,7 +16,7 @@
 from ochrehoist.core.idempotent_runs import IdempotentRuns
 from ochrehoist.core.messages import ExecutorReady, Message
 from ochrehoist.core.metrics import Metrics
-from ochrehoist.core.request import InboundRequest
+from ochrehoist.core.request import InboundRequest, RequestReference, find_request
 from ochrehoist.core.response_tracker import ResponseTracker
 from ochrehoist.core.results import FailureReason
 from ochrehoist.core.tenants import TenantTable, initial_table
@@ -142,6 +142,11 @@
     def received_event(self, request: InboundRequest) -> RequestReceived:
         """Returns the event that announces the request to the controller."""
 
+    def open_request(self, request_id: RequestId) -> InboundRequest | None:
+        """Returns the open request that an event or an action of the controller names."""
+        assert isinstance(request_id, RequestReference)
+        return find_request(self.open_requests, request_id)
+
     def post(self, message: Message) -> None:
         """Adds a message to the inbox and wakes the core; may be called by any task."""
         self.inbox.append(message)
@@ -250,7 +255,8 @@
     def decides(self) -> bool:
         """Whether this core decides on requests now.
 
-        False before the controller is up, while frozen, during shutdown, and while another process decides.
+        False before the controller is up, while frozen, during shutdown, while another process decides, and
+        after the end of the core.
         """
         return self.controller is not None and not self.frozen and self.drain_started_ns is None
 
--- a/ochrehoist/core/handover_snapshot.py
+++ b/ochrehoist/core/handover_snapshot.py
@@ -25,13 +25,19 @@
     key_from_json,
     optional_result_to_json,
     reference_from_json,
+    reference_to_json,
     request_from_json,
     request_to_json,
     result_from_json,
 )
 from ochrehoist.core.idempotency_table import IdempotencyRecord, IdempotencyTable, IdempotentRun
 from ochrehoist.core.persisted_names import class_from_json, class_to_json
-from ochrehoist.core.request import IdempotencyKey
+from ochrehoist.core.request import (
+    NO_SERIAL,
+    IdempotencyKey,
+    InboundRequest,
+    RequestReference,
+)
 from ochrehoist.core.snapshot import CoreSnapshot
 
 if TYPE_CHECKING:
@@ -66,7 +72,7 @@
     return {
         "m": "run",
         "token": key,
-        "id": run.id,
+        **reference_to_json(run.request),
         "window_end": run.window_end_ns - clock_offset_ns,
         "fingerprint": fingerprint_to_json(run.fingerprint),
         "dropped": run.result_evicted,
@@ -78,13 +84,16 @@
 
 
 def _record_line(key: IdempotencyKey, record: IdempotencyRecord, clock_offset_ns: int) -> Line:
-    return {
+    line = {
         "m": "entry",
         "token": key,
-        "holder": record.request_id,
+        "holder": record.holder.id,
         "until": record.expires_ns - clock_offset_ns,
         "fingerprint": fingerprint_to_json(record.fingerprint),
     }
+    if record.holder.serial != NO_SERIAL:
+        line["serial"] = record.holder.serial
+    return line
 
 
 class SnapshotReader:
@@ -139,7 +148,7 @@
     def _read_run(self, line: Line) -> None:
         key = key_from_json(line["token"])
         run = IdempotentRun(
-            line["id"],
+            reference_from_json(line),
             int(line["window_end"]) + self._clock_offset_ns,
             fingerprint_from_json(line["fingerprint"]),
             result_evicted=bool(line["dropped"]),
@@ -152,12 +161,17 @@
         if line["result"] is not None:
             result = result_from_json(line["result"], self._codec)
             size_bytes = len(result.body) + result.detail_bytes + self._result_overhead_bytes
-            table.run_ended(key, run.id, result, size_bytes)
+            table.run_ended(key, run.request, result, size_bytes)
 
     def _read_record(self, line: Line) -> None:
+        key = key_from_json(line["token"])
+        holder = RequestReference(line["holder"], int(line.get("serial", NO_SERIAL)))
+        run = self.snapshot.idempotency.runs.get(key)
+        if holder.serial == NO_SERIAL and run is not None and run.request.id == holder.id:
+            holder = run.request
         self.snapshot.idempotency.retain(
-            key_from_json(line["token"]),
-            line["holder"],
+            key,
+            holder,
             int(line["until"]) + self._clock_offset_ns,
             fingerprint_from_json(line["fingerprint"]),
         )
@@ -167,6 +181,21 @@
         request = request_from_json(line, remote, self._classes)
         request.arrived_ns += self._clock_offset_ns
         self.snapshot.requests.append(request)
+        self._name_filing(request)
+
+    def _name_filing(self, request: InboundRequest) -> None:
+        """Completes the names of a request's run and record if an earlier release wrote only its id."""
+        key = request.idempotency_key
+        if key is None:
+            return
+        written = RequestReference(request.id, NO_SERIAL)
+        table = self.snapshot.idempotency
+        run = table.run_in_progress(key, written)
+        if run is not None:
+            run.request = request.reference
+        record = table.records.get(key)
+        if record is not None and record.holder == written:
+            table.retain(key, request.reference, record.expires_ns, record.fingerprint)
 
     def _read_class(self, line: Line) -> None:
         data = {name: value for name, value in line.items() if name != "m"}
--- a/ochrehoist/core/idempotency_table.py
+++ b/ochrehoist/core/idempotency_table.py
@@ -6,7 +6,13 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from ochrehoist.core.request import Fingerprint, IdempotencyKey, RequestReference
+from ochrehoist.core.request import (
+    NO_SERIAL,
+    Fingerprint,
+    IdempotencyKey,
+    RequestReference,
+    new_reference,
+)
 from ochrehoist.core.results import RunResult
 
 # Time for which a run is kept beyond its window. It covers the error of arrival times, which are rounded to
@@ -19,7 +25,7 @@
 class IdempotencyRecord:
     """The attempt that holds a key, whether or not it has been started."""
 
-    request_id: str
+    holder: RequestReference
     expires_ns: int
     fingerprint: Fingerprint | None
 
@@ -29,7 +35,7 @@
     """The attempt of a filing that ran.
 
     Attributes:
-        id: Id of that attempt.
+        request: Reference of that attempt.
         window_end_ns: End of the idempotency window, which starts with the attempt's arrival, plus a margin.
         fingerprint: Fingerprint of its content; None if unknown.
         result: The result; None until the run has ended, and again after eviction.
@@ -40,7 +46,7 @@
         waiters: The duplicates that wait for the result.
     """
 
-    id: str
+    request: RequestReference
     window_end_ns: int
     fingerprint: Fingerprint | None
     result: RunResult | None = None
@@ -63,7 +69,7 @@
         read_delay_ns: Maximum time between the arrival of an attempt and its reading.
         max_bytes: Maximum memory for results; beyond it the oldest results are evicted.
         bytes: Memory that results use now.
-        records: The attempt that holds each key.
+        records: The attempt that holds each key; an attempt holds at most one.
         runs: The attempt that ran for each key.
     """
 
@@ -73,20 +79,20 @@
         self.bytes = 0
         self.records: dict[IdempotencyKey, IdempotencyRecord] = {}
         self.runs: dict[IdempotencyKey, IdempotentRun] = {}
-        self._keys_by_holder: dict[str, IdempotencyKey] = {}
+        self._keys_by_holder: dict[RequestReference, IdempotencyKey] = {}
         # Sizes (bytes) of the results in memory, oldest first.
         self._result_sizes: OrderedDict[IdempotencyKey, int] = OrderedDict()
 
-    def original_request_id(self, key: IdempotencyKey, arrived_ns: int) -> str | None:
-        """Returns the id of the attempt that an attempt with this arrival time duplicates, if any.
+    def original_request(self, key: IdempotencyKey, arrived_ns: int) -> RequestReference | None:
+        """Returns the attempt that an attempt with this arrival time duplicates, if any.
 
         Expiry is compared with the time of arrival, not with the possibly later time of reading.
         """
         record = self.records.get(key)
         if record is not None and arrived_ns <= record.expires_ns:
-            return record.request_id
+            return record.holder
         run = self.runs.get(key)
-        return run.id if run is not None and arrived_ns <= run.window_end_ns else None
+        return run.request if run is not None and arrived_ns <= run.window_end_ns else None
 
     def has_same_content(self, key: IdempotencyKey, arrived_ns: int, fingerprint: Fingerprint | None) -> bool:
         """Returns False if the key belongs to different content; True if a fingerprint is unknown."""
@@ -103,23 +109,29 @@
         return original[1] == fingerprint[1] and len(targets) < 2
 
     def retain(
-        self, key: IdempotencyKey, request_id: str, expires_ns: int, fingerprint: Fingerprint | None
+        self,
+        key: IdempotencyKey,
+        request: RequestReference,
+        expires_ns: int,
+        fingerprint: Fingerprint | None,
     ) -> None:
-        """Makes the attempt the holder of its key until `expires_ns`."""
-        self._drop_record(key)
-        self.records[key] = IdempotencyRecord(request_id, expires_ns, fingerprint)
-        self._keys_by_holder[request_id] = key
+        """Makes the attempt the holder of its key until `expires_ns`; it keeps no other key."""
+        self.release(request)
+        self.drop_record(key)
+        self.records[key] = IdempotencyRecord(request, expires_ns, fingerprint)
+        self._keys_by_holder[request] = key
 
-    def release(self, request_id: str) -> None:
+    def release(self, request: RequestReference) -> None:
         """Releases the key that the attempt holds, if any."""
-        key = self._keys_by_holder.get(request_id)
+        key = self._keys_by_holder.get(request)
         if key is not None:
-            self._drop_record(key)
+            self.drop_record(key)
 
-    def _drop_record(self, key: IdempotencyKey) -> None:
+    def drop_record(self, key: IdempotencyKey) -> None:
+        """Removes the record of a key, if there is one."""
         record = self.records.pop(key, None)
         if record is not None:
-            del self._keys_by_holder[record.request_id]
+            del self._keys_by_holder[record.holder]
 
     def may_run(self, key: IdempotencyKey, arrived_ns: int) -> bool:
         """Returns whether an attempt with this arrival time may run.
@@ -130,33 +142,48 @@
         return run is None or (arrived_ns > run.window_end_ns and run.has_ended)
 
     def run_started(
-        self, key: IdempotencyKey, request_id: str, window_end_ns: int, fingerprint: Fingerprint | None
+        self,
+        key: IdempotencyKey,
+        request: RequestReference,
+        window_end_ns: int,
+        fingerprint: Fingerprint | None,
     ) -> None:
         """Adds the run of an attempt; it replaces an earlier run of the same key."""
         self._drop_result(key)
-        self.runs[key] = IdempotentRun(request_id, window_end_ns + WINDOW_MARGIN_NS, fingerprint)
+        self.runs[key] = IdempotentRun(request, window_end_ns + WINDOW_MARGIN_NS, fingerprint)
 
-    def run_in_progress(self, key: IdempotencyKey, request_id: str) -> IdempotentRun | None:
-        """Returns the run of this attempt; None once it has ended, since a later attempt may have its id."""
+    def run_in_progress(self, key: IdempotencyKey, request: RequestReference) -> IdempotentRun | None:
+        """Returns the run of this attempt; None once it has ended."""
         run = self.runs.get(key)
-        return run if run is not None and run.id == request_id and not run.has_ended else None
-
-    def remove_unstarted_run(self, key: IdempotencyKey, request_id: str) -> list[RequestReference]:
+        return run if run is not None and run.request == request and not run.has_ended else None
+
+    def name_ended_runs(self) -> None:
+        """Gives a unique reference to each ended run of which an earlier release wrote only the id."""
+        for key, run in self.runs.items():
+            if run.request.serial != NO_SERIAL or not run.has_ended:
+                continue
+            record = self.records.get(key)
+            is_holder = record is not None and record.holder == run.request
+            run.request = new_reference(run.request.id)
+            if record is not None and is_holder:
+                self.retain(key, run.request, record.expires_ns, record.fingerprint)
+
+    def remove_unstarted_run(self, key: IdempotencyKey, request: RequestReference) -> list[RequestReference]:
         """Removes a run that was not started or never executed, so that a later attempt may run.
 
         Returns the duplicates that waited for it.
         """
-        run = self.run_in_progress(key, request_id)
+        run = self.run_in_progress(key, request)
         if run is None:
             return []
         del self.runs[key]
         return list(run.waiters)
 
     def run_ended(
-        self, key: IdempotencyKey, request_id: str, result: RunResult, size_bytes: int
+        self, key: IdempotencyKey, request: RequestReference, result: RunResult, size_bytes: int
     ) -> list[RequestReference]:
         """Stores the result of a run and returns the duplicates that waited for it."""
-        run = self.run_in_progress(key, request_id)
+        run = self.run_in_progress(key, request)
         if run is None:
             return []
         waiters = list(run.waiters)
@@ -186,7 +213,7 @@
         """
         oldest_arrival_ns = now_ns - self.read_delay_ns
         for key in [k for k, record in self.records.items() if record.expires_ns < oldest_arrival_ns]:
-            self._drop_record(key)
+            self.drop_record(key)
         expired = [
             key for key, run in self.runs.items() if run.window_end_ns < oldest_arrival_ns and run.has_ended
         ]
--- a/ochrehoist/core/idempotent_runs.py
+++ b/ochrehoist/core/idempotent_runs.py
@@ -84,7 +84,7 @@
         key = request.idempotency_key
         if self._journal is None or key is None:
             return False
-        if core.idempotency.original_request_id(key, request.arrived_ns) is not None:
+        if core.idempotency.original_request(key, request.arrived_ns) is not None:
             return False
         rejection = self._journal.rejection_for(key)
         if rejection is None:
@@ -112,7 +112,7 @@
         if request is None or request.idempotency_key is None:
             return
         run = core.idempotency.runs.get(request.idempotency_key)
-        if run is None or run.id != request.id or run.started:
+        if run is None or run.request != request.reference or run.started:
             return
         if message.recorded and (not request.answered or run.waiters):
             run.started = True
@@ -125,7 +125,7 @@
     ) -> None:
         """Removes a run that was not started; rejects its request and the duplicates that wait for it."""
         core = self._core
-        waiters = core.idempotency.remove_unstarted_run(key, request.id)
+        waiters = core.idempotency.remove_unstarted_run(key, request.reference)
         if self._journal is not None:
             self._journal.never_ran(key)
         for reference in (request.reference, *waiters):
@@ -133,21 +133,21 @@
             if waiting is not None:
                 core.responses.reject(waiting, retry_after_ns)
                 core.open_requests.pop(waiting.id, None)
-                core.dispatch(RequestCompleted(waiting.id, Outcome.NOT_STARTED, 0))
+                core.dispatch(RequestCompleted(waiting.reference, Outcome.NOT_STARTED, 0))
 
     def run_ended(self, request: InboundRequest, key: IdempotencyKey, result: RunResult) -> None:
         """Stores the result of a run and answers the duplicates that wait for it."""
         core = self._core
-        run = core.idempotency.run_in_progress(key, request.id)
+        run = core.idempotency.run_in_progress(key, request.reference)
         if run is None:  # an attempt that was not run, as the filing ran before
             return
         if result.outcome in NEVER_RAN:
-            waiters = core.idempotency.remove_unstarted_run(key, request.id)
+            waiters = core.idempotency.remove_unstarted_run(key, request.reference)
             if self._journal is not None:
                 self._journal.never_ran(key)
         else:
             size_bytes = len(result.body) + result.detail_bytes + RESULT_OVERHEAD_BYTES
-            waiters = core.idempotency.run_ended(key, request.id, result, size_bytes)
+            waiters = core.idempotency.run_ended(key, request.reference, result, size_bytes)
             if self._journal is not None:
                 self._journal.end(key, run, result)
         for waiter in waiters:
@@ -211,4 +211,4 @@
         class_index = core.class_indices[key[1]]
         window_ns = core.controller.settings.classes[class_index].idempotency_window_ns
         age_ns = max(0, core.now_ns - (run.window_end_ns - window_ns))
-        core.dispatch(RunAdopted(RequestReceived(run.id, class_index, unread_ns=age_ns), True, True))
+        core.dispatch(RunAdopted(RequestReceived(run.request, class_index, unread_ns=age_ns), True, True))
--- a/ochrehoist/core/message_handlers.py
+++ b/ochrehoist/core/message_handlers.py
@@ -68,7 +68,7 @@
     if request is None:
         return
     core.responses.caller_disconnected(request)
-    core.dispatch(RequestAbandoned(request.id, message.gave_up))
+    core.dispatch(RequestAbandoned(request.reference, message.gave_up))
 
 
 def run_completed(core: CoreContext, message: RunCompleted) -> None:
@@ -76,7 +76,8 @@
     request = find_request(core.open_requests, message.request)
     outcome = message.result.outcome
     if request is None:
-        _complete_closed_request(core, message)
+        # The controller may still count the request as running.
+        core.dispatch(RequestCompleted(message.request, outcome, message.duration_ns))
         return
     del core.open_requests[request.id]
     duration_ns = message.duration_ns
@@ -90,12 +91,6 @@
     _complete(core, request, message.result, duration_ns)
 
 
-def _complete_closed_request(core: CoreContext, message: RunCompleted) -> None:
-    """Notifies the controller, which may still count the request as running, unless its id is used again."""
-    if message.request.id not in core.open_requests:
-        core.dispatch(RequestCompleted(message.request.id, message.result.outcome, message.duration_ns))
-
-
 def duplicate_resolved(core: CoreContext, message: DuplicateResolved) -> None:
     """Answers a duplicate with the result of the run that it duplicates."""
     request = find_request(core.open_requests, message.request)
@@ -106,7 +101,7 @@
 
 def _complete(core: CoreContext, request: InboundRequest, result: RunResult, duration_ns: int) -> None:
     core.responses.complete(request, result)
-    core.dispatch(RequestCompleted(request.id, result.outcome, duration_ns))
+    core.dispatch(RequestCompleted(request.reference, result.outcome, duration_ns))
 
 
 def gauges_measured(core: CoreContext, message: GaugesMeasured) -> None:
@@ -161,6 +156,7 @@
     if message.state is None:
         core.start_controller(core.settings)
         return
+    message.state.idempotency.name_ended_runs()
     core.standby = core.inherited_standby = message.state.standby
     state_transfer.adopt_snapshot(core, message.state)
     core.update_health()
@@ -187,7 +183,7 @@
         return
     core.log.warning("overdue_request_failed", id=request.id, started=request.started)
     core.responses.fail(request, FailureReason.DEADLINE_PASSED)
-    core.dispatch(RequestAbandoned(request.id, False))
+    core.dispatch(RequestAbandoned(request.reference, False))
     release_slot(core, request)
 
 
--- a/ochrehoist/core/request.py
+++ b/ochrehoist/core/request.py
@@ -24,6 +24,7 @@
 
 # The random base separates the serial numbers of a process from those of the process that it replaces.
 _serials = itertools.count(int.from_bytes(os.urandom(SERIAL_BASE_BYTES), "big") + 1)
+_next_serial = _serials.__next__
 
 
 class RequestReference(NamedTuple):
@@ -40,6 +41,11 @@
     serial: int
 
 
+def new_reference(request_id: str) -> RequestReference:
+    """Returns a reference that no request has; for an ended request of which only the id is known."""
+    return RequestReference(request_id, _next_serial())
+
+
 @dataclass(slots=True, eq=False)
 class InboundRequest:
     """One completely read request and the state of its handling.
@@ -71,6 +77,7 @@
         started: Whether the controller has decided to run the request.
         is_remote: Whether another process read the request, and answers, counts and runs it.
         serial: Distinguishes the request from others of the same id.
+        reference: The reference by which messages and the admission controller name this request.
     """
 
     id: str
@@ -97,12 +104,11 @@
     answered: bool = False
     started: bool = False
     is_remote: bool = False
-    serial: int = field(default_factory=_serials.__next__)
+    serial: int = field(default_factory=_next_serial)
+    reference: RequestReference = field(init=False)
 
-    @property
-    def reference(self) -> RequestReference:
-        """The reference by which messages name this request."""
-        return RequestReference(self.id, self.serial)
+    def __post_init__(self) -> None:
+        self.reference = RequestReference(self.id, self.serial)
 
 
 def find_request(
--- a/ochrehoist/core/state_transfer.py
+++ b/ochrehoist/core/state_transfer.py
@@ -3,7 +3,7 @@
 from ochrehoist.admission import learned_state
 from ochrehoist.admission.events import RunAdopted
 from ochrehoist.core.context import CoreContext
-from ochrehoist.core.request import InboundRequest
+from ochrehoist.core.request import InboundRequest, RequestReference
 from ochrehoist.core.snapshot import CoreSnapshot, LearnedState
 from ochrehoist.units import NS_PER_S
 
@@ -30,7 +30,7 @@
     core.idempotency = state.idempotency
     core.responses.clear()
     core.start_controller(state.settings_with_removed_classes(core.settings))
-    started_requests = {r.id: r for r in state.requests if r.started}
+    started_requests = {r.reference: r for r in state.requests if r.started}
     _adopt_idempotent_runs(core, state, started_requests)
     for request in started_requests.values():
         core.track(request)
@@ -43,7 +43,7 @@
 
 
 def _adopt_idempotent_runs(
-    core: CoreContext, state: CoreSnapshot, started_requests: dict[str, InboundRequest]
+    core: CoreContext, state: CoreSnapshot, started_requests: dict[RequestReference, InboundRequest]
 ) -> None:
     """Makes the controller adopt the idempotent runs that are not among the started requests."""
     windows = {c.name: c.idempotency_window_ns for c in core.settings.classes}
@@ -52,7 +52,7 @@
         if old_class is not None:  # a longer window also applies to earlier runs
             run.window_end_ns += max(0, windows.get(old_class.name, 0) - old_class.idempotency_window_ns)
         run.waiters = ()  # the controller attaches the duplicates again
-        if run.id not in started_requests and not run.restored and key[1] in core.class_indices:
+        if run.request not in started_requests and not run.restored and key[1] in core.class_indices:
             core.idempotent_runs.adopt(key, run)
 
 
--- a/ochrehoist/net/ajp_reader.py
+++ b/ochrehoist/net/ajp_reader.py
@@ -165,7 +165,7 @@
         if not key:
             return False
         full_key = (tenant, request_class.name, key)
-        return self.core.idempotency.original_request_id(full_key, self.core.clock()) is not None
+        return self.core.idempotency.original_request(full_key, self.core.clock()) is not None
 
     def read_request(
         self,
--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -251,7 +251,7 @@
     def rebuild_contents(self) -> RebuildContents:
         """Returns the loss, the learned state and the intents of all runs that have ended or are running."""
         runs = list(self._owner.idempotency.runs.items())
-        live_ids = frozenset(self._owner.open_requests)
+        live_requests = frozenset(request.reference for request in self._owner.open_requests.values())
         recorder = self._recorder()
 
         def intents() -> list[IntentRecord]:
@@ -259,7 +259,7 @@
             return [
                 recorder.record(key, run)
                 for key, run in runs
-                if run.result is not None or run.result_evicted or run.id in live_ids
+                if run.result is not None or run.result_evicted or run.request in live_requests
             ]
 
         return RebuildContents(intents, self._store_in_use().loss, self._learned)
@@ -326,7 +326,7 @@
         recorder = self._recorder()
         for key, run in known_runs.items():
             stored_run = opened.runs.get(key)
-            if stored_run is None or stored_run.id != run.id:
+            if stored_run is None or stored_run.request.id != run.request.id:
                 self._scheduler.add(PutIntent(None, encode_key(key), recorder.record(key, run)))
             if run.result is not None and not (stored_run and stored_run.result_stored):
                 self.end(key, run, run.result)
--- a/ochrehoist/store/journal_records.py
+++ b/ochrehoist/store/journal_records.py
@@ -8,7 +8,7 @@
 from ochrehoist.core.idempotency_table import IdempotentRun
 from ochrehoist.core.persisted_names import OUTCOME_NAMES, OUTCOMES_BY_NAME
 from ochrehoist.core.protocols import DetailCodec
-from ochrehoist.core.request import IdempotencyKey
+from ochrehoist.core.request import IdempotencyKey, new_reference
 from ochrehoist.core.results import RunResult
 from ochrehoist.store.records import IntentRecord, ResultRecord
 from ochrehoist.store.store_repair import LiveIntent
@@ -34,7 +34,9 @@
         remaining_ns = max(0, run.window_end_ns - self.clock_ns)
         window_ns = max(remaining_ns, self.windows_ns.get(key[1], 0))
         target, body = run.fingerprint or (None, None)
-        return IntentRecord(key, run.id, window_ns, remaining_ns, self.now, target, body, self.worker_name)
+        return IntentRecord(
+            key, run.request.id, window_ns, remaining_ns, self.now, target, body, self.worker_name
+        )
 
 
 def restored_runs(intents: list[LiveIntent], clock_ns: int) -> RunsByKey:
@@ -57,7 +59,7 @@
         )
         fingerprint = None if record.body is None else (record.target, record.body)
         runs[key] = IdempotentRun(
-            id=record.request_id,
+            request=new_reference(record.request_id),
             window_end_ns=clock_ns + intent.remaining_ns,
             fingerprint=fingerprint,
             result_evicted=True,
