Confine faults in due work to their cause, and end a process whose core has ended

Cause: CoreActor.step guarded messages but not the due work; an exception there ended the core's task, the loop logged it and went on, and nobody asked whether the core was still there. Change: each request, record, run, the gauges, the limits, adopted runs and health listeners are called through FaultConfinement, which logs (`due_work_fault`) and counts (`faults` in /status, there once there was one). A core, kernel link or take-over that ends all the same is reported down in state, health, agent check and membership, open and new requests fail, and the process ends with exit code 1; SIGALRM kills it 0.9 s after the fault at the latest. A drain that raises, or a replacement whose last steps raise, ends its process too.

--- a/benchmarks/scaling/core_probes.py
+++ b/benchmarks/scaling/core_probes.py
@@ -43,15 +43,23 @@
 def idempotency_by_filings(size: int, seed: int) -> Measures:  # noqa: ARG001
     """Filings within their window: expiry runs each second, on the loop."""
     table, table_bytes = with_memory_growth(lambda: _idempotency_table(size))
-    expire_us = median_cpu_us(lambda: table.expire(10 * S))
+    expire_us = median_cpu_us(lambda: _expire(table, 10 * S))
     assert len(table.runs) == size
     return {
         "bytes": table_bytes,
         "expire_us": expire_us,
-        "expire_all_us": cpu_us(lambda: table.expire((WINDOW_S + 100) * S)),
+        "expire_all_us": cpu_us(lambda: _expire(table, (WINDOW_S + 100) * S)),
     }
 
 
+def _expire(table: IdempotencyTable, now_ns: int) -> None:
+    """Drops all records and runs that have expired, as the core does."""
+    for key in table.expired_records(now_ns):
+        table.drop_record(key)
+    for key in table.expired_runs(now_ns):
+        table.drop_run(key)
+
+
 def handover_by_filings(size: int, seed: int) -> Measures:  # noqa: ARG001
     """The lines of a handover with so many filings within their window."""
     snapshot = CoreSnapshot(idempotency=_idempotency_table(size))
--- a/ochrehoist/app/operator_api.py
+++ b/ochrehoist/app/operator_api.py
@@ -90,6 +90,8 @@
             "log_dropped": self._sink.dropped_lines,
             "connections": {front.LISTENER_NAME: len(front.connections) for front in self._fronts},
         }
+        if core.faults.counts:
+            values["faults"] = dict(core.faults.counts)
         for section in STATUS_SECTIONS:
             if section in self._status_sources:
                 values[section] = self._status_sources[section].status_section()
--- a/ochrehoist/app/worker.py
+++ b/ochrehoist/app/worker.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import TYPE_CHECKING, Any
 
+from ochrehoist.app.essential_tasks import EssentialTasks
 from ochrehoist.app.replacement import Replacement
 from ochrehoist.app.worker_parts import WorkerParts
 from ochrehoist.config import loader as configuration
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from ochrehoist.store.journal import Journal
 
+EXIT_TASK_FAILED = 1
 RESTORE_TIMEOUT_AFTER_START_S = 3.0  # after this time clients are accepted before recorded runs are known
 
 
@@ -52,13 +54,15 @@
                 parts, config.handover_path, self._on_take_over, self._on_replaced
             )
         parts.register_kernel_sharing(self._kernel_is_shared)
+        self._tasks = EssentialTasks(parts.loop, parts.core, self._shutdown.end_at_once, parts.log)
 
     def run(self) -> int:
         """Serves until the process is told to stop or is replaced, and returns the exit code."""
         parts = self.parts
         self._register_signals()
+        self._tasks.spawn_core()
         for task in parts.tasks:
-            parts.loop.spawn(task)
+            self._tasks.spawn(task)
         if self._replacement is None or not self._replacement.replaces_process:
             if parts.journal is None:
                 self._serve()
@@ -67,7 +71,7 @@
         self._announce_listeners()
         parts.loop.run()
         self._close()
-        return 0
+        return EXIT_TASK_FAILED if self._tasks.failed else 0
 
     def _register_signals(self) -> None:
         # SIGTERM and SIGHUP are handled even if they were ignored by the parent process: nohup and some
@@ -92,7 +96,7 @@
         for listener in parts.listeners:
             listener.acceptor.start()
         if parts.membership:
-            parts.loop.spawn(parts.membership.run)
+            self._tasks.spawn(parts.membership.run)
         if parts.peers:
             parts.peers.start()
         if self._replacement:
@@ -125,6 +129,13 @@
 
         Listeners whose address is in `addresses` are stopped, since the successor listens there too.
         """
+        try:
+            self._stop_parts(addresses)
+        finally:  # whatever fails here, the process must end
+            self._shutdown.retire(report_open_connections)
+
+    def _stop_parts(self, addresses: Sequence[list[Any]]) -> None:
+        """Stops what the successor does now."""
         parts = self.parts
         for listener in parts.listeners:
             if list(listener.acceptor.address) in addresses:
@@ -135,7 +146,6 @@
             parts.peers.stop("replaced")
         if parts.journal:
             parts.journal.release()
-        self._shutdown.retire(report_open_connections)
 
     def _kernel_is_shared(self) -> bool:
         """Returns whether another process of this worker may have runs on the kernel."""
--- a/ochrehoist/app/worker_parts.py
+++ b/ochrehoist/app/worker_parts.py
@@ -54,7 +54,7 @@
     """All parts of one worker; an optional part is None if the configuration has no table for it.
 
     Attributes:
-        tasks: functions that the loop runs as tasks from the start.
+        tasks: functions that the loop runs as tasks from the start, beside the core.
         listeners: all parts that accept connections: the fronts, the agent check and the operator server.
         inherited_addresses: addresses of the listeners whose sockets the predecessor has handed over.
     """
@@ -81,7 +81,7 @@
         self._kernel_is_shared: Callable[[], bool] = lambda: False
         self.overload_control = self._build_overload_control()
         self.core = self._build_core()
-        self.tasks: list[Callable[[], None]] = [self.core.run]
+        self.tasks: list[Callable[[], None]] = []
         self.operator_api = self._build_operator_api(is_serving)
         self.inherited = InheritedSockets(config.handover_path)
         limits = connection_limits(config)
--- a/ochrehoist/core/actor.py
+++ b/ochrehoist/core/actor.py
@@ -23,11 +23,12 @@
 from ochrehoist.core import message_handlers, state_transfer
 from ochrehoist.core.action_handlers import ACTION_HANDLERS
 from ochrehoist.core.context import CoreContext
+from ochrehoist.core.fault_confinement import Fault
 from ochrehoist.core.forwarder import Forwarder
 from ochrehoist.core.handover_lines import SendLine
 from ochrehoist.core.idempotency_table import IdempotencyTable
 from ochrehoist.core.message_handlers import MESSAGE_HANDLERS
-from ochrehoist.core.messages import RunCompleted
+from ochrehoist.core.messages import RequestArrived, RunCompleted
 from ochrehoist.core.request import InboundRequest, RequestReference
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.core.snapshot import CoreSnapshot
@@ -68,11 +69,28 @@
     # The loop.
 
     def run(self) -> None:
-        """Runs the message loop; never returns."""
-        while True:
+        """Runs the message loop until `end` is called."""
+        while not self.ended:
             self._instrumented_step()
             self.waker.wait(self._timeout_s())
 
+    def run_after_end(self) -> None:
+        """Fails all requests, open and new ones, until the process ends; runs in place of `run`."""
+        while True:
+            self._fail_requests()
+            self.waker.wait(None)
+
+    def _fail_requests(self) -> None:
+        fail = self.faults.call
+        while self.inbox:
+            message = self.inbox.popleft()
+            if isinstance(message, RequestArrived):
+                fail("failure_after_end", self.fail, message.request, FailureReason.INTERNAL)
+        for request in list(self.open_requests.values()):
+            fail("failure_after_end", self.responses.fail, request, FailureReason.INTERNAL)
+        if self.forwarder is not None:
+            fail("failure_after_end", self.forwarder.fail_pending)
+
     def step(self) -> None:
         """Handles all messages in the inbox, then all work that is due."""
         while self.inbox and not self.frozen:
@@ -85,7 +103,7 @@
                     MESSAGE_HANDLERS[type(message)](self, message)
             except Exception:
                 # A bug in a handler must not end the process: open requests fail once they are overdue.
-                self.log.exception("core_fault", message=type(message).__name__)
+                self.faults.record(Fault.MESSAGE, message=type(message).__name__)
         self._update_now()
         if self.forwarder is not None:
             self.forwarder.tick()
@@ -105,17 +123,19 @@
         return None if due_ns is None else max(0, due_ns - self.clock()) / NS_PER_S
 
     def _run_due_work(self) -> None:
+        """Does all work that is due; a fault in one part of it leaves the others."""
+        call = self.faults.call
         for reference in self.deadlines.pop_overdue_requests(self.now_ns):
-            message_handlers.answer_overdue_request(self, reference)
+            call("overdue_request", message_handlers.answer_overdue_request, self, reference)
         if self.deadlines.collect_due_timers(self.now_ns):
-            self.request_gauges()
+            call("gauges", self.request_gauges)
         if self.deadlines.gauges_wait_expired(self.now_ns):
             message_handlers.fire_due_timers(self)
         if self.now_ns - self.last_expiry_ns >= EXPIRY_PERIOD_NS:
             self.last_expiry_ns = self.now_ns
             self.idempotent_runs.expire()
         if self.limiter is not None and self.controller is not None:
-            self._evaluate_limits(self.limiter)
+            call("limits", self._evaluate_limits, self.limiter)
 
     def _evaluate_limits(self, limiter: ConcurrencyLimiter) -> None:
         """Passes changed concurrency limits to the controller, at most once per evaluation period."""
@@ -156,14 +176,14 @@
         try:
             actions = self.controller.handle(self.now_ns if at_ns is None else at_ns, event)  # type: ignore[union-attr]
         except Exception:
-            self.log.exception("controller_fault", event_type=type(event).__name__)
-            self._fail_after_fault(event)
+            self.faults.record(Fault.CONTROLLER, event_type=type(event).__name__)
+            self.faults.call("failure_after_fault", self._fail_after_fault, event)
             return False
         for action in actions:
             try:
                 ACTION_HANDLERS[type(action)](self, action)
             except Exception:
-                self.log.exception("action_fault", action=type(action).__name__)
+                self.faults.record(Fault.ACTION, action=type(action).__name__)
         return True
 
     def _fail_after_fault(self, event: Event) -> None:
--- a/ochrehoist/core/context.py
+++ b/ochrehoist/core/context.py
@@ -11,6 +11,7 @@
 from ochrehoist.admission.events import Event, RequestId, RequestReceived
 from ochrehoist.admission.settings import AdmissionSettings, Tenant
 from ochrehoist.core.deadlines import Deadlines
+from ochrehoist.core.fault_confinement import FaultConfinement
 from ochrehoist.core.forwarder import Forwarder
 from ochrehoist.core.idempotency_table import IdempotencyTable
 from ochrehoist.core.idempotent_runs import IdempotentRuns
@@ -57,7 +58,7 @@
         standby: Whether the operators have ordered the worker to be empty.
         inherited_standby: Whether `standby` was taken over from the predecessor process.
         healthy: Health as published in checks and reports. Derived from `controller_healthy`,
-            `kernel_connected`, `standby` and `drain_started_ns`.
+            `kernel_connected`, `standby`, `drain_started_ns` and `ended`.
         load_fraction: Fraction of its usual load that this worker requests from routers; 0 for none.
         backpressure_weight_pct: Percentage of its usual share that the controller requests.
         drain_started_ns: When the shutdown order arrived; None before.
@@ -66,6 +67,8 @@
         instance_started_ns: When the executor became ready.
         request_predecessor_state: Requests the state of the predecessor process; None without a predecessor.
         frozen: Whether message handling is stopped while the successor process takes over the state.
+        ended: Whether the core has ended, so that this process decides on no request any more.
+        faults: Confines and counts exceptions in the work of the core.
         forwarder: Forwards messages to the process that decides; None while this process decides.
     """
 
@@ -91,6 +94,8 @@
         self.now_ns = 0
         self.controller: AdmissionController | None = None
         self.metrics = Metrics(c.name for c in settings.classes)
+        self.faults = FaultConfinement(log)
+        self.ended = False
         self.responses = ResponseTracker(self.metrics, log)
         self.open_requests = self.responses.open_requests
         self.deadlines = Deadlines()
@@ -182,7 +187,8 @@
     def update_health(self) -> None:
         """Recomputes the worker's health and notifies the listeners if it has changed."""
         healthy = (
-            self.controller_healthy
+            not self.ended
+            and self.controller_healthy
             and self.kernel_connected
             and not self.standby
             and self.drain_started_ns is None
@@ -190,7 +196,13 @@
         if healthy != self.healthy:
             self.healthy = healthy
             for listener in self.listeners:
-                listener.health_changed(healthy)
+                self.faults.call("health_listener", listener.health_changed, healthy)
+
+    def end(self) -> None:
+        """Ends the core, and reports the worker as unhealthy; called when the process cannot go on."""
+        self.ended = True
+        self.update_health()
+        self.waker.set()
 
     # Optional parts.
 
@@ -245,7 +257,9 @@
         A process that took over while on standby counts as ready too; otherwise the old process would never
         be released.
         """
-        if self.controller is None or self.drain_started_ns is not None or self.forwarder is not None:
+        if self.ended or self.drain_started_ns is not None or self.forwarder is not None:
+            return False
+        if self.controller is None:
             return False
         return (
             self.controller_healthy and self.kernel_connected and (not self.standby or self.inherited_standby)
@@ -258,7 +272,9 @@
         False before the controller is up, while frozen, during shutdown, while another process decides, and
         after the end of the core.
         """
-        return self.controller is not None and not self.frozen and self.drain_started_ns is None
+        if self.ended or self.frozen or self.drain_started_ns is not None:
+            return False
+        return self.controller is not None
 
     @property
     def unanswered(self) -> int:
@@ -280,6 +296,8 @@
     @property
     def state(self) -> str:
         """The value of `state` in /status."""
+        if self.ended:
+            return "down"
         if self.forwarder is not None:
             return "replaced"
         if self.drain_started_ns is not None:
--- a/ochrehoist/core/forwarder.py
+++ b/ochrehoist/core/forwarder.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from ochrehoist.admission.events import Outcome
+from ochrehoist.core.fault_confinement import FaultConfinement
 from ochrehoist.core.handover_lines import (
     AnswerDecision,
     ForwardedMessage,
@@ -54,6 +55,7 @@
         send: SendLine,
         codec: DetailCodec,
         responses: ResponseTracker,
+        faults: FaultConfinement,
         clock: Callable[[], int],
         wall_clock: Callable[[], int],
     ) -> None:
@@ -61,6 +63,7 @@
         self._codec = codec
         self._responses = responses
         self._log = responses.log
+        self._faults = faults
         self._clock = clock
         self._wall_clock = wall_clock
         self._send: SendLine | None = send  # None once the other process has disconnected
@@ -196,10 +199,19 @@
             if self._process_end_ns is not None:
                 due_ns = min(due_ns, self._process_end_ns)
             if not request.answered and due_ns <= now_ns:
-                self._log.warning("forwarded_request_overdue", id=request.id)
-                self._fail(request, FailureReason.DEADLINE_PASSED)
-                self._forward(CallerDisconnected(request.reference, gave_up=False))
-                self._drop_if_finished(request)
+                self._faults.call("overdue_request", self._fail_overdue, request)
+
+    def _fail_overdue(self, request: InboundRequest) -> None:
+        self._log.warning("forwarded_request_overdue", id=request.id)
+        self._fail(request, FailureReason.DEADLINE_PASSED)
+        self._forward(CallerDisconnected(request.reference, gave_up=False))
+        self._drop_if_finished(request)
+
+    def fail_pending(self) -> None:
+        """Fails all unanswered requests, as this process is about to end."""
+        for request in list(self.pending.values()):
+            if not request.answered:
+                self._faults.call("failure_after_end", self._fail, request, FailureReason.INTERNAL)
 
     # Answers.
 
--- a/ochrehoist/core/idempotency_table.py
+++ b/ochrehoist/core/idempotency_table.py
@@ -206,18 +206,19 @@
         if key in self.runs:
             self.runs[key].result = None
 
-    def expire(self, now_ns: int) -> list[IdempotencyKey]:
-        """Removes records and runs that no attempt still to be read can refer to.
+    def drop_run(self, key: IdempotencyKey) -> None:
+        """Removes the run of a key with its result."""
+        self._drop_result(key)
+        del self.runs[key]
 
-        Returns the keys of the removed runs.
-        """
+    def expired_records(self, now_ns: int) -> list[IdempotencyKey]:
+        """Returns the keys whose record no attempt still to be read can refer to."""
         oldest_arrival_ns = now_ns - self.read_delay_ns
-        for key in [k for k, record in self.records.items() if record.expires_ns < oldest_arrival_ns]:
-            self.drop_record(key)
-        expired = [
+        return [key for key, record in self.records.items() if record.expires_ns < oldest_arrival_ns]
+
+    def expired_runs(self, now_ns: int) -> list[IdempotencyKey]:
+        """Returns the keys of ended runs that no attempt still to be read can refer to."""
+        oldest_arrival_ns = now_ns - self.read_delay_ns
+        return [
             key for key, run in self.runs.items() if run.window_end_ns < oldest_arrival_ns and run.has_ended
         ]
-        for key in expired:
-            self._drop_result(key)
-            del self.runs[key]
-        return expired
--- a/ochrehoist/core/idempotent_runs.py
+++ b/ochrehoist/core/idempotent_runs.py
@@ -14,6 +14,7 @@
     RequestReceived,
     RunAdopted,
 )
+from ochrehoist.core.fault_confinement import FaultConfinement
 from ochrehoist.core.idempotency_table import IdempotencyTable, IdempotentRun
 from ochrehoist.core.messages import DuplicateResolved, IntentRecorded, Message, StateRestored
 from ochrehoist.core.request import IdempotencyKey, InboundRequest, find_request
@@ -40,6 +41,7 @@
     tenants: TenantTable
     now_ns: int
     log: Logger
+    faults: FaultConfinement
 
     def dispatch(self, event: Event, at_ns: int | None = None) -> bool:
         """Passes an event to the controller and carries out the actions that it returns."""
@@ -169,10 +171,21 @@
             core.post(DuplicateResolved(request.reference, RunResult(Outcome.FAILED)))
 
     def expire(self) -> None:
-        """Removes runs whose window has ended from the table and the journal."""
-        for key in self._core.idempotency.expire(self._core.now_ns):
-            if self._journal is not None:
-                self._journal.drop(key)
+        """Removes records and runs whose window has ended from the table, and the runs from the journal.
+
+        A fault at one of them leaves the others.
+        """
+        core = self._core
+        table = core.idempotency
+        for key in table.expired_records(core.now_ns):
+            core.faults.call("record_expiry", table.drop_record, key)
+        for key in table.expired_runs(core.now_ns):
+            core.faults.call("run_expiry", self._drop_run, key)
+
+    def _drop_run(self, key: IdempotencyKey) -> None:
+        self._core.idempotency.drop_run(key)
+        if self._journal is not None:
+            self._journal.drop(key)
 
     def restore(self, message: StateRestored) -> None:
         """Adopts the runs and learned state read from the store; runs added since take precedence."""
--- a/ochrehoist/core/state_transfer.py
+++ b/ochrehoist/core/state_transfer.py
@@ -33,8 +33,7 @@
     started_requests = {r.reference: r for r in state.requests if r.started}
     _adopt_idempotent_runs(core, state, started_requests)
     for request in started_requests.values():
-        core.track(request)
-        core.dispatch(RunAdopted(core.received_event(request), request.answered, False))
+        core.faults.call("adoption", _adopt_started_request, core, request)
     _restore_learned_state(core, state.learned_state)
     _adopt_waiting_requests(core, [r for r in state.requests if not r.started and not r.answered])
     # Restored once more: the adoption of waiting requests would distort the learned delay between arrival and
@@ -42,6 +41,11 @@
     _restore_learned_state(core, state.learned_state)
 
 
+def _adopt_started_request(core: CoreContext, request: InboundRequest) -> None:
+    core.track(request)
+    core.dispatch(RunAdopted(core.received_event(request), request.answered, False))
+
+
 def _adopt_idempotent_runs(
     core: CoreContext, state: CoreSnapshot, started_requests: dict[RequestReference, InboundRequest]
 ) -> None:
@@ -53,17 +57,21 @@
             run.window_end_ns += max(0, windows.get(old_class.name, 0) - old_class.idempotency_window_ns)
         run.waiters = ()  # the controller attaches the duplicates again
         if run.request not in started_requests and not run.restored and key[1] in core.class_indices:
-            core.idempotent_runs.adopt(key, run)
+            core.faults.call("adoption", core.idempotent_runs.adopt, key, run)
 
 
 def _adopt_waiting_requests(core: CoreContext, waiting: list[InboundRequest]) -> None:
     """Passes the requests that are neither started nor answered to the controller, oldest first."""
     for request in sorted(waiting, key=lambda r: r.arrived_ns):
-        core.track(request)
-        event = core.received_event(request)
-        # The request keeps its original deadline, even if the class has changed.
-        event.remaining_ns = max(1, request.due_ns - core.now_ns)
-        core.dispatch(event)
+        core.faults.call("adoption", _adopt_waiting_request, core, request)
+
+
+def _adopt_waiting_request(core: CoreContext, request: InboundRequest) -> None:
+    core.track(request)
+    event = core.received_event(request)
+    # The request keeps its original deadline, even if the class has changed.
+    event.remaining_ns = max(1, request.due_ns - core.now_ns)
+    core.dispatch(event)
 
 
 def _restore_learned_state(core: CoreContext, learned: LearnedState | None) -> None:
--- a/ochrehoist/net/agent_check.py
+++ b/ochrehoist/net/agent_check.py
@@ -15,6 +15,8 @@
     The admission controller decides on health. The weight is the product of its backpressure weight and the
     fraction of load that the worker asks for.
     """
+    if core.ended:
+        return b"down\n"
     if core.drain_started_ns is not None or core.standby or core.load_fraction <= 0:
         return b"drain\n"
     if not core.healthy:
--- a/ochrehoist/net/handover_server.py
+++ b/ochrehoist/net/handover_server.py
@@ -158,8 +158,8 @@
         forwarder = self._core.hand_over(link.send, self._codec)
         self._forwarder = forwarder
         self._log.info("handed_over", pending=len(forwarder.pending))
-        self._on_replaced(agreement.get("at", []))
         try:
+            self._on_replaced(agreement.get("at", []))
             while True:
                 forwarder.receive(link.receive(None))
         finally:
--- a/ochrehoist/net/process_shutdown.py
+++ b/ochrehoist/net/process_shutdown.py
@@ -87,7 +87,7 @@
             age_ms=age_ns // NS_PER_MS,
         )
         self._core.post(ShutdownRequested(max(0, self._timeout_ms * NS_PER_MS - age_ns), age_ns))
-        self._loop.spawn(self._drain, self._requested_at_s)
+        self._loop.spawn(self._run_to_end, self._drain, self._requested_at_s)
 
     def retire(self, report_connections: Callable[[OpenConnections], None]) -> None:
         """Ends this process, which is replaced, once its connections and forwarded requests are done.
@@ -97,7 +97,19 @@
         for front in self._fronts:
             front.acceptor.stop(leave_backlog=True)
             front.retire()
-        self._loop.spawn(self._retire, report_connections, self._core.forwarder)
+        self._loop.spawn(self._run_to_end, self._retire, report_connections, self._core.forwarder)
+
+    def end_at_once(self) -> None:
+        """Closes all connections, once the answers written so far are sent, and stops the loop."""
+        self._loop.spawn(self._run_to_end, self._close_all)
+
+    def _run_to_end(self, run: Callable[..., None], *args: object) -> None:
+        """Runs a task that has to end the process; if it raises, the loop is stopped at once."""
+        try:
+            run(*args)
+        except Exception:
+            self._loop.stop()
+            raise
 
     def _drain(self, requested_at_s: float) -> None:
         """Answers all requests that were read, and ends the process once no more can arrive."""
--- /dev/null
+++ b/tests/app/test_essential_tasks.py
@@ -0,0 +1,82 @@
+"""Tasks that fail in a real process, by faults that are put there as it starts."""
+
+import json
+import socket
+import time
+import unittest
+
+from tests.support.environment import WAIT_LIMIT_S
+from tests.support.worker_cases import WorkerTestCase
+
+EXIT_WITHIN_S = 1.0
+
+# Raises once the file `fail` is there; {place} is what raises, a function without arguments.
+FAULT = """
+import os
+from ochrehoist.core import deadlines
+from ochrehoist.net import kernel_link
+flag = os.path.join(os.path.dirname(__file__), "fail")
+sound = {place}
+def broken(self, *args):
+    if os.path.exists(flag):
+        raise RuntimeError("injected")
+    return sound(self, *args)
+{place} = broken
+"""
+CORE_LOOP = FAULT.format(place="deadlines.Deadlines.next_due_ns")
+KERNEL_LINK = FAULT.format(place="kernel_link.KernelLink._link_lost")
+
+
+class EndedTaskTest(WorkerTestCase):
+    """Processes without which no request is decided on any more, or run."""
+
+    def assert_ends_with_an_error(self, program):
+        """Waits for the report of the failure, and checks that the process ends in time after it."""
+        program.wait_until_logged("essential_task_ended")
+        began = time.monotonic()
+        self.assertEqual(program.wait_for_exit(), 1)
+        self.assertLess(time.monotonic() - began, EXIT_WITHIN_S)
+
+    def test_a_core_that_ends_is_reported_down_and_ends_its_process(self):
+        # Guards against a worker that says "up" while it decides on nothing.
+        program = self.start(ajp=True, fault=CORE_LOOP)
+        router = program.thrift_router()
+        open_request = router.invoke(body=b"open")
+        program.kernel.next_run()
+        program.write_file("fail", "")
+        waiting = router.invoke(body=b"new")  # the core handles it, and then raises
+        program.wait_until_logged("essential_task_ended")
+        began = time.monotonic()
+        status, text = program.operator_call()
+        self.assertEqual((status, json.loads(text)["state"]), (503, "down"))
+        program.members.wait_for("OUT")
+        with socket.create_connection(program.addresses["AgentCheck"], WAIT_LIMIT_S) as check:
+            self.assertEqual(check.recv(100), b"down\n")
+        kinds = {router.answer(sequence_id)[0] for sequence_id in (open_request, waiting)}
+        self.assertEqual(kinds, {"Broken"})
+        self.assertEqual(program.wait_for_exit(), 1)
+        self.assertLess(time.monotonic() - began, EXIT_WITHIN_S)
+        self.assertEqual([entry["task"] for entry in program.logged("task_fault")], ["CoreActor.run"])
+
+    def test_a_kernel_link_that_ends_ends_its_process(self):
+        program = self.start(fault=KERNEL_LINK)
+        program.write_file("fail", "")
+        program.kernel.out.shutdown(socket.SHUT_RDWR)
+        self.assert_ends_with_an_error(program)
+
+    def test_a_process_that_is_slow_to_close_its_parts_is_killed(self):
+        slow = CORE_LOOP + (
+            "from ochrehoist.app import worker_parts\nimport time\n"
+            "worker_parts.WorkerParts.close = lambda self: time.sleep(60)\n"
+        )
+        program = self.start(fault=slow)
+        program.write_file("fail", "")
+        program.thrift_router().invoke()
+        program.wait_until_logged("essential_task_ended")
+        began = time.monotonic()
+        self.assertLess(program.wait_for_exit(), 0)  # ended by a signal
+        self.assertLess(time.monotonic() - began, EXIT_WITHIN_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/app/test_replacement.py
+++ b/tests/app/test_replacement.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 from ochrehoist.admission.settings import RequestClass
+from ochrehoist.core.fault_confinement import FaultConfinement
 from ochrehoist.core.forwarder import Forwarder
 from ochrehoist.core.metrics import Metrics
 from ochrehoist.core.request import InboundRequest
@@ -352,7 +353,10 @@
                 told.clear()
                 r = InboundRequest("r1", read, 0, None, responder, None, due_ns=9 * S, started=True)
                 answers = ResponseTracker(Metrics(["read"]), mock.Mock())
-                f = Forwarder({"r1": r}, lambda line: None, mock.Mock(), answers, lambda: now[0], lambda: 0)
+                faults = FaultConfinement(mock.Mock())
+                f = Forwarder(
+                    {"r1": r}, lambda line: None, mock.Mock(), answers, faults, lambda: now[0], lambda: 0
+                )
                 if ends_at is not None:
                     f.set_process_end(ends_at)
                 for at in (1, 2, 3):
--- /dev/null
+++ b/tests/core/test_fault_confinement.py
@@ -0,0 +1,153 @@
+"""Exceptions in the core's due work: each ends only the timer, record or request that caused it."""
+
+import unittest
+from unittest import mock
+
+from ochrehoist.admission.events import Outcome
+from ochrehoist.core.fault_confinement import Fault
+from ochrehoist.core.messages import GaugesMeasured, IntentRecorded, RequestArrived, RunCompleted
+from ochrehoist.core.results import FailureReason, RunResult
+from tests.core.core_test_case import FILING, READ, CoreTestCase, S
+
+OK = RunResult(Outcome.OK, b"done")
+TICK_NS = S // 10
+
+
+def raising_once(function):
+    """Returns a function that raises when it is first called, and then is `function`."""
+    faults = iter([ValueError("injected")])
+
+    def call(*args):
+        for fault in faults:
+            raise fault
+        return function(*args)
+
+    return call
+
+
+class DueWorkTest(CoreTestCase):
+    """One part of the due work raises."""
+
+    def setUp(self):
+        super().setUp()
+        self.actor.log.exception = mock.Mock()
+
+    def assert_one_fault(self, work):
+        self.actor.log.exception.assert_called_once_with("due_work_fault", work=work)
+        self.assertEqual(self.actor.faults.counts, {Fault.DUE_WORK: 1})
+
+    def file(self, key):
+        filing = self.arrive(key)
+        self.post_and_step(IntentRecorded(filing.reference, True), RunCompleted(filing.reference, OK, S))
+        return filing
+
+    def test_a_record_that_cannot_be_dropped_leaves_the_expiry_of_the_others(self):
+        # Guards against the end of the core: an exception at one expired record ended its task.
+        for key in ("a", "b"):
+            self.file(key)
+        self.now_ns += 2 * (FILING.idempotency_window_ns + FILING.deadline_ns)
+        table = self.actor.idempotency
+        table.drop_record = raising_once(table.drop_record)
+        self.post_and_step()
+        self.assert_one_fault("record_expiry")
+        self.assertEqual((len(table.records), table.runs), (1, {}))
+        self.now_ns += 2 * S
+        self.post_and_step()
+        self.assertEqual(table.records, {})
+
+    def test_a_run_that_the_journal_cannot_drop_leaves_the_expiry_of_the_others(self):
+        for key in ("a", "b"):
+            self.file(key)
+        self.now_ns += 2 * (FILING.idempotency_window_ns + FILING.deadline_ns)
+        self.journal.drop = raising_once(self.journal.drop)
+        self.post_and_step()
+        self.assert_one_fault("run_expiry")
+        self.assertEqual((self.actor.idempotency.runs, self.journal.calls[-1]), ({}, ("drop", "b")))
+
+    def test_an_overdue_request_that_cannot_be_failed_leaves_the_others_and_the_timers(self):
+        first, second = (self.arrive(request_class=READ) for _ in range(2))
+        self.now_ns += READ.deadline_ns + S
+        fired = self.actor.controller.now_ns
+        responses = self.actor.responses
+        responses.fail = raising_once(responses.fail)
+        self.post_and_step()
+        self.assert_one_fault("overdue_request")
+        answered = [request for request in (first, second) if self.answers(request)]
+        self.assertEqual(len(answered), 1)
+        self.assertEqual(self.answers(answered[0]), [("failed", FailureReason.DEADLINE_PASSED)])
+        self.now_ns += TICK_NS
+        self.post_and_step()
+        self.assertGreater(self.actor.controller.now_ns, fired)
+
+    def test_gauges_that_cannot_be_requested_delay_the_timers_only(self):
+        self.actor.request_gauges = raising_once(self.actor.request_gauges)
+        self.now_ns += TICK_NS
+        self.post_and_step()
+        self.assert_one_fault("gauges")
+        handled = self.actor.controller.now_ns
+        self.now_ns += TICK_NS
+        self.post_and_step()
+        self.assertGreater(self.actor.controller.now_ns, handled)
+
+    def test_limits_that_cannot_be_evaluated_leave_the_rest(self):
+        limiter = mock.Mock()
+        limiter.check_arrival.return_value = None
+        limiter.estimate_cost.return_value = 1.0
+        limiter.evaluate.side_effect = ValueError("injected")
+        self.actor.register_limiter(limiter)
+        self.now_ns += TICK_NS
+        request = self.request(request_class=READ)
+        self.post_and_step(RequestArrived(request), GaugesMeasured())
+        self.assert_one_fault("limits")
+        self.assertEqual(self.started, [request.id])
+
+
+class HealthTest(CoreTestCase):
+    """A listener raises."""
+
+    def test_a_listener_that_raises_leaves_the_others_informed(self):
+        self.actor.log.exception = mock.Mock()
+        broken, sound = mock.Mock(), mock.Mock()
+        broken.health_changed.side_effect = ValueError("injected")
+        for listener in (broken, sound):
+            self.actor.register_listener(listener)
+        self.actor.end()
+        sound.health_changed.assert_called_once_with(False)
+        self.actor.log.exception.assert_called_once_with("due_work_fault", work="health_listener")
+
+
+class WaitEndedError(Exception):
+    """Ends the endless wait of a core that has ended."""
+
+
+class EndedCoreTest(CoreTestCase):
+    """A core that has ended."""
+
+    def setUp(self):
+        super().setUp()
+        self.open_request = self.arrive(request_class=READ)
+        self.late = self.request(request_class=READ)
+        self.actor.post(RequestArrived(self.late))
+
+    def test_it_is_reported_as_down_and_fails_open_and_new_requests(self):
+        # Guards against a worker that says "up" while it decides on nothing.
+        actor = self.actor
+        self.assertEqual((actor.state, actor.ready, actor.decides), ("up", True, True))
+        actor.end()
+        self.assertEqual(
+            (actor.state, actor.ready, actor.decides, actor.healthy), ("down", False, False, False)
+        )
+        actor.waker.wait.side_effect = WaitEndedError
+        with self.assertRaises(WaitEndedError):
+            actor.run_after_end()
+        for request in (self.open_request, self.late):
+            self.assertEqual(self.answers(request), [("failed", FailureReason.INTERNAL)])
+
+    def test_its_loop_ends(self):
+        self.actor.end()
+        self.actor.run()
+        self.assertFalse(self.answers(self.late))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/core/test_forwarder.py
+++ b/tests/core/test_forwarder.py
@@ -20,7 +20,10 @@
     def setUp(self):
         super().setUp()
         self.sent = []
-        self.forwarder = Forwarder({}, self.sent.append, CODEC, self.actor.responses, self.clock, self.clock)
+        core = self.actor
+        self.forwarder = Forwarder(
+            {}, self.sent.append, CODEC, core.responses, core.faults, self.clock, self.clock
+        )
 
     def arrive_here(self, request):
         self.forwarder.handle_message(RequestArrived(request))
