Go on with periodic calls, reports and accepting after one of them raised

Change: periodic_calls.py makes the next call whatever the last one did; the others log a fault of their own and go on.

--- a/ochrehoist/app/kernel_link_supervisor.py
+++ b/ochrehoist/app/kernel_link_supervisor.py
@@ -42,9 +42,15 @@
         """
         while self._core.forwarder is None:
             if self._kernel.has_booted:
-                self._check()
+                self._check_confined()
             self._loop.sleep(LINK_CHECK_INTERVAL_S)
 
+    def _check_confined(self) -> None:
+        try:
+            self._check()
+        except Exception:  # the next check must follow all the same
+            self._log.exception("kernel_link_check_fault")
+
     def _check(self) -> None:
         connected = self._kernel.is_connected
         status = self._monitor.evaluate(time.monotonic(), connected, self._kernel.address)
--- a/ochrehoist/capture/recorder.py
+++ b/ochrehoist/capture/recorder.py
@@ -25,6 +25,7 @@
 from ochrehoist.core.request import InboundRequest
 from ochrehoist.errors import InvalidInputError
 from ochrehoist.loop_protocols import StartBlockingCalls, TimerLoop
+from ochrehoist.periodic_calls import call_periodically
 
 FLUSH_INTERVAL_S = 1.0  # pending records are written at this interval, also if they do not fill a batch
 FINAL_FLUSH_TIMEOUT_S = 1.0  # for pending writes, from the call of close()
@@ -84,7 +85,7 @@
         self._last_error = ""  # text of the last error; empty after a successful write
         self._thread = start_blocking_calls("capture")
         self._start_file(core.settings)
-        loop.call_later(FLUSH_INTERVAL_S, self._flush_periodically)
+        call_periodically(loop, FLUSH_INTERVAL_S, self._flush_periodically)
 
     def _make_folder(self) -> None:
         folder = self._writer.folder
@@ -179,7 +180,6 @@
         if self._last_error:
             self._start_file(self._core.settings)
         self._flush()
-        self._loop.call_later(FLUSH_INTERVAL_S, self._flush_periodically)
 
     def _flush(self) -> None:
         records = self._pending_records
--- a/ochrehoist/net/ajp_server.py
+++ b/ochrehoist/net/ajp_server.py
@@ -22,6 +22,7 @@
 from ochrehoist.net import ajp
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import ConnectionClosedError, Stream, StreamTimeoutError, connect
+from ochrehoist.periodic_calls import call_periodically
 from ochrehoist.units import NS_PER_S
 
 SWEEP_INTERVAL_S = 1.0
@@ -213,7 +214,7 @@
         self._advisor: ServerAdvisor | None = None
         self._max_response_bytes = max_response_bytes
         self._response_bytes = 0
-        loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        call_periodically(loop, SWEEP_INTERVAL_S, self._sweep)
 
     def use_advisor(self, advisor: ServerAdvisor) -> None:
         """Lets the advisor choose the servers of later requests, and their order."""
@@ -386,7 +387,6 @@
         idle_since_s = time.monotonic() - self._config.idle_timeout_s
         for pool in self._pools:
             pool.close_idle(idle_since_s)
-        self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
 
 def _run_result(reply: ajp.Reply) -> RunResult:
--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -196,8 +196,14 @@
             self._wait_for_room()
 
     def _accepted(self, sock: socket.socket) -> None:
+        try:
+            run_connection = self._accept(sock)
+        except Exception:  # only this connection is lost, and uses up no slot
+            self._log.exception("connection_not_accepted")
+            sock.close()
+            return
         self._open_count += 1
-        self._loop.spawn(self._accept(sock))
+        self._loop.spawn(run_connection)
         if self._stopping:
             self._remaining_backlog -= 1
             if not self._remaining_backlog:
--- a/ochrehoist/net/loop.py
+++ b/ochrehoist/net/loop.py
@@ -209,7 +209,7 @@
                 timeout_ms = (timers[0].due_s - time.monotonic()) * MS_PER_S
             self._closed_fds.clear()
             if self._iteration_observer is not None:
-                self._iteration_observer(time.monotonic() - started_s, timer_delay_s)
+                self._observe_iteration(time.monotonic() - started_s, timer_delay_s)
             # Rounded up, since a poll that ends early would make the loop spin until the timer is due.
             polled_s = time.monotonic()
             events = poll(None if timeout_ms is None else max(0, int(timeout_ms + POLL_ROUND_UP_MS)))
@@ -234,6 +234,13 @@
                 if timer.callback is not None:
                     run_callback(timer.callback)
 
+    def _observe_iteration(self, duration_s: float, timer_delay_s: float) -> None:
+        try:
+            if self._iteration_observer is not None:
+                self._iteration_observer(duration_s, timer_delay_s)
+        except Exception:
+            self.log.exception("callback_fault", callback="iteration observer")
+
     def _run_callback(self, function: Callable[[], object] | None) -> None:
         if function is None:
             return
--- a/ochrehoist/net/membership_heartbeat.py
+++ b/ochrehoist/net/membership_heartbeat.py
@@ -139,19 +139,28 @@
     def run(self) -> None:
         """Runs as a task of the loop: sends reports until `stop` is called."""
         while not self._stopped:
-            address = self._address
-            phase = self._phase()
-            result = self._report(phase)
-            if result.status != STATUS_ACCEPTED:
+            try:
+                self._report_and_wait()
+            except Exception:  # the service would drop a worker that no longer reports
+                self._log.exception("membership_fault")
                 self._close()
-            if self._stopped:
-                self.stop()  # closes connections that were opened since
-                return
-            if address == self._address:
-                self._log_change(result)
-            is_sent = result.status in (STATUS_ACCEPTED, None)
-            pause_s = REPORT_INTERVAL_S if is_sent else RETRY_DELAY_S
-            self._wait_until_due(result.written_at_s + pause_s, address, phase)
+                self._loop.sleep(RETRY_DELAY_S)
+
+    def _report_and_wait(self) -> None:
+        """Sends one report and waits until the next one is due."""
+        address = self._address
+        phase = self._phase()
+        result = self._report(phase)
+        if result.status != STATUS_ACCEPTED:
+            self._close()
+        if self._stopped:
+            self.stop()  # closes connections that were opened since
+            return
+        if address == self._address:
+            self._log_change(result)
+        is_sent = result.status in (STATUS_ACCEPTED, None)
+        pause_s = REPORT_INTERVAL_S if is_sent else RETRY_DELAY_S
+        self._wait_until_due(result.written_at_s + pause_s, address, phase)
 
     def _phase(self) -> Phase:
         return Phase.UP if self._core.healthy else Phase.OUT
--- a/ochrehoist/net/peers.py
+++ b/ochrehoist/net/peers.py
@@ -27,6 +27,7 @@
 from ochrehoist.peers.outbound import OutgoingMessage
 from ochrehoist.peers.status_view import status_view
 from ochrehoist.peers.wire import HealthStatus, Incarnation, Message
+from ochrehoist.periodic_calls import call_periodically
 from ochrehoist.units import NS_PER_MS
 
 if TYPE_CHECKING:
@@ -144,7 +145,7 @@
             loop,
             self.config.group,
             _encode_texts(self.config.secrets),
-            self._tick,
+            self._start_ticking,
             self._on_message,
             log,
             open_socket,
@@ -185,15 +186,20 @@
             self._send(self.group.leave(reason))
         self.transport.close()
 
-    def _tick(self) -> None:
+    def _start_ticking(self) -> None:
+        call_periodically(self.loop, PEER_TICK_INTERVAL_S, self._tick)
+        self._tick()
+
+    def _tick(self) -> bool:
+        """Does the group's periodic work; returns False once the transport is closed."""
         if not self.transport.is_open:
-            return
+            return False
         started_s = time.thread_time()
         now = time.monotonic()
         self._send(self.group.tick(now))
         self._event_log.update(self.group, time.monotonic())
         self._tick_cpu_s += time.thread_time() - started_s
-        self.loop.call_later(PEER_TICK_INTERVAL_S, self._tick)
+        return True
 
     def _on_message(self, message: Message, source: str) -> None:
         self._send(self.group.receive(message, source, time.monotonic()))
--- a/ochrehoist/net/recovery.py
+++ b/ochrehoist/net/recovery.py
@@ -15,6 +15,7 @@
 from ochrehoist.net.blocking_calls import BlockingCallThread
 from ochrehoist.net.intent_replication import IntentReplicationService, ReplicatedJournal
 from ochrehoist.net.loop import Loop
+from ochrehoist.periodic_calls import call_periodically
 from ochrehoist.recovery.service_level import ServiceLevelMonitor, ServiceOutcome
 from ochrehoist.recovery.startup_progress import ReadinessFacts, StartupProgress, StartupStage
 from ochrehoist.units import NS_PER_S
@@ -44,7 +45,6 @@
         servers: AjpServers | None,
         log: Logger,
     ) -> None:
-        self._loop = loop
         self._core = core
         self._log = log
         self._worker_name = name
@@ -61,7 +61,7 @@
         if state:
             self._record_path = Path(state.folder) / RESTART_RECORD_FILE
             self._record_writer = BlockingCallThread(loop, "restarts")
-        loop.call_later(TICK_INTERVAL_S, self._tick)
+        call_periodically(loop, TICK_INTERVAL_S, self._tick)
 
     def _tick(self) -> None:
         now = time.monotonic()
@@ -71,7 +71,6 @@
             self._log.info("startup_stage_entered", stage=str(entered), reason=self._progress.current.reason)
             if self._progress.is_complete:
                 self._record_start(now)
-        self._loop.call_later(TICK_INTERVAL_S, self._tick)
 
     def _readiness(self) -> ReadinessFacts:
         return ReadinessFacts(
--- a/ochrehoist/net/self_monitoring.py
+++ b/ochrehoist/net/self_monitoring.py
@@ -20,6 +20,7 @@
 from ochrehoist.net.thrift_front import ThriftFront
 from ochrehoist.overload.overload_control import OverloadControl
 from ochrehoist.overload.overload_detector import SAMPLE_INTERVAL_S, LoadSample
+from ochrehoist.periodic_calls import call_periodically
 
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 STATM_READ_BYTES = 64  # enough for the first two fields of the file
@@ -62,7 +63,7 @@
         for front in fronts:
             front.instrument_reading(partial(control.timings.timed, "reading"))
         loop.observe_iterations(self._record_iteration)
-        loop.call_later(SAMPLE_INTERVAL_S, self._sample)
+        call_periodically(loop, SAMPLE_INTERVAL_S, self._sample)
 
     def status_section(self) -> dict[str, Any]:
         """Returns the section of `/status`."""
@@ -121,7 +122,6 @@
         now_s = time.monotonic()
         self.control.detector.observe(self._take_sample(now_s))
         self._log_state(now_s)
-        self._loop.call_later(SAMPLE_INTERVAL_S, self._sample)
 
     def _take_sample(self, now_s: float) -> LoadSample:
         """Returns the load since the last sample and resets the counts."""
--- a/ochrehoist/net/sites.py
+++ b/ochrehoist/net/sites.py
@@ -19,6 +19,7 @@
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.operator_server import Response, json_response
 from ochrehoist.net.peers import Peers
+from ochrehoist.periodic_calls import call_periodically
 from ochrehoist.sites.admission_threshold import TICK_INTERVAL_S
 from ochrehoist.sites.coordinator import SiteCoordinator, UnknownSiteError
 from ochrehoist.sites.operator_commands import CommandKind
@@ -64,7 +65,6 @@
         cold_start: bool,
         log: Logger,
     ) -> None:
-        self._loop = loop
         self._core = core
         self._peers = peers
         self._log = log
@@ -84,7 +84,7 @@
         core.register_fleet_admission(self._coordinator.gate)
         core.register_observer(self._coordinator.gate)
         core.set_load_fraction(self._coordinator.load_fraction)
-        loop.call_later(TICK_INTERVAL_S, self._tick)
+        call_periodically(loop, TICK_INTERVAL_S, self._tick)
 
     def configure(self, config: Config, tenants: TenantTable) -> None:
         """Applies a reloaded configuration; one without the table [sites] changes nothing."""
@@ -101,7 +101,6 @@
         self._update_standby()
         for event in coordinator.take_events():
             self._log.warning(str(event.name), **event.fields)
-        self._loop.call_later(TICK_INTERVAL_S, self._tick)
 
     def _update_standby(self) -> None:
         """Puts the worker on standby while its site is evacuated."""
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -26,6 +26,7 @@
 from ochrehoist.net.stream import Stream
 from ochrehoist.net.thrift_connection import ThriftConnection
 from ochrehoist.net.thrift_reader import ThriftReader
+from ochrehoist.periodic_calls import call_periodically
 from ochrehoist.units import NS_PER_S
 
 if TYPE_CHECKING:
@@ -106,7 +107,7 @@
         self._malformed_count = 0
         self._malformed_reason = ""
         self._malformed_logged_at_s = 0.0
-        loop.call_later(FIRST_SWEEP_DELAY_S, self._sweep)
+        call_periodically(loop, SWEEP_INTERVAL_S, self._sweep, FIRST_SWEEP_DELAY_S)
 
     @property
     def classes(self) -> dict[str, RequestClass]:
@@ -180,7 +181,6 @@
                 self._end_if_idle(connection, now_s, ends_early)
         if self._malformed_count and now_s - self._malformed_logged_at_s > MALFORMED_LOG_INTERVAL_S:
             self._log_malformed(now_s)
-        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     @staticmethod
     def _is_busy(connection: ThriftConnection) -> bool:
--- a/ochrehoist/store/commit_scheduler.py
+++ b/ochrehoist/store/commit_scheduler.py
@@ -164,10 +164,17 @@
             self._log.info("store_works_again")
         self._metrics.committed(operations or 0, self._queue.commit_started_at, now)
         for request in self._queue.committed():
-            failpoints.reached(Failpoint.INTENT_DURABLE)
-            self._listener.intent_durable(request)
+            self._report_durable(request)
         self.run()
 
+    def _report_durable(self, request: RequestReference) -> None:
+        failpoints.reached(Failpoint.INTENT_DURABLE)
+        try:
+            self._listener.intent_durable(request)
+        except Exception:  # the other intents of the group are durable too
+            self._log.exception("durable_intent_not_reported", id=request.id)
+            self._listener.intents_rejected([request])
+
     def _group_failed(self, error: Exception, kind: FailureKind, now: float) -> None:
         self._failures.record_failure(error)
         self._listener.intents_rejected(self._queue.failed(now, kind))
--- a/tests/app/test_essential_tasks.py
+++ b/tests/app/test_essential_tasks.py
@@ -4,17 +4,20 @@
 import socket
 import time
 import unittest
+from pathlib import Path
 
 from tests.support.environment import WAIT_LIMIT_S
 from tests.support.worker_cases import WorkerTestCase
 
 EXIT_WITHIN_S = 1.0
+POLL_INTERVAL_S = 0.02
 
 # Raises once the file `fail` is there; {place} is what raises, a function without arguments.
 FAULT = """
 import os
+from ochrehoist.app import kernel_link_supervisor
 from ochrehoist.core import deadlines
-from ochrehoist.net import kernel_link
+from ochrehoist.net import handover_client, kernel_link, membership_heartbeat, thrift_front
 flag = os.path.join(os.path.dirname(__file__), "fail")
 sound = {place}
 def broken(self, *args):
@@ -25,6 +28,9 @@
 """
 CORE_LOOP = FAULT.format(place="deadlines.Deadlines.next_due_ns")
 KERNEL_LINK = FAULT.format(place="kernel_link.KernelLink._link_lost")
+HEARTBEAT = FAULT.format(place="membership_heartbeat.MembershipHeartbeat._encode")
+LINK_CHECK = FAULT.format(place="kernel_link_supervisor.KernelLinkSupervisor._check")
+SWEEP = FAULT.format(place="thrift_front.ThriftFront._end_if_idle")
 
 
 class EndedTaskTest(WorkerTestCase):
@@ -78,5 +84,43 @@
         self.assertLess(time.monotonic() - began, EXIT_WITHIN_S)
 
 
+class ConfinedFaultTest(WorkerTestCase):
+    """Faults that end neither a task nor the process."""
+
+    def wait_until_logged_twice(self, program, event):
+        until = time.monotonic() + WAIT_LIMIT_S
+        while len(program.logged(event)) < 2:
+            self.assertLess(time.monotonic(), until, program.log)
+            time.sleep(POLL_INTERVAL_S)
+
+    def serves(self, program):
+        program.serve_one(program.thrift_router())
+
+    def test_a_heartbeat_that_raises_is_sent_again(self):
+        program = self.start(fault=HEARTBEAT)
+        program.write_file("fail", "")
+        program.wait_until_logged("membership_fault")
+        while not program.members.reports.empty():
+            program.members.reports.get()
+        Path(program.folder.name, "fail").unlink()
+        program.members.wait_for("UP")
+        self.serves(program)
+
+    def test_a_check_of_the_kernel_link_that_raises_is_made_again(self):
+        program = self.start(fault=LINK_CHECK)
+        program.write_file("fail", "")
+        self.wait_until_logged_twice(program, "kernel_link_check_fault")
+        self.serves(program)
+
+    def test_a_sweep_of_the_connections_that_raises_is_made_again(self):
+        # Guards against idle connections that are never ended: the sweep that raised was the last one.
+        program = self.start(fault=SWEEP)
+        router = program.thrift_router()
+        router.ping()
+        program.write_file("fail", "")
+        self.wait_until_logged_twice(program, "callback_fault")
+        self.serves(program)
+
+
 if __name__ == "__main__":
     unittest.main()
