Keep the ids of given-up runs, so that their end is not taken for that of a later request

Callers saw: nothing in service; found by reading, forced in a test: a filing got another filing's result. Cause: the kernel names runs by their ids alone. A filing whose outcome stayed unknown is given up after 10 s and may go on at the kernel; a later request of its id is taken there for that run, and gets its end. Change: InFlightRuns keeps at most 1,000 such ids until the kernel reports their end; a request with one of them fails without being sent. Routers choose a new id for each try, so only copied ids are affected. Result: GivenUpRunTest (tests/net/test_reused_ids.py) passes.

--- a/ochrehoist/net/in_flight_runs.py
+++ b/ochrehoist/net/in_flight_runs.py
@@ -21,6 +21,7 @@
 LOSS_WINDOW_S = 0.06  # commands written in the last 50 ms before a break may be lost; 10 ms allow for clocks
 # A run reaches the cores within this time after the kernel has read its command: three of its 4 ms steps.
 CORE_DELAY_S = 0.012
+MAX_GIVEN_UP_RUNS = 1000  # beyond it the oldest are forgotten
 
 
 @dataclass(slots=True)
@@ -60,10 +61,12 @@
 
 
 class InFlightRuns:
-    """The runs of one kernel, by request id."""
+    """The runs of one kernel, by request id: the kernel's commands and notices name a run by nothing else."""
 
     def __init__(self) -> None:
         self._runs: dict[str, KernelRun] = {}
+        # Ids of runs that have failed here, but may go on at the kernel; oldest first.
+        self._given_up: dict[str, None] = {}
         self._acknowledged_until_s = -math.inf  # the kernel has read all commands written to this link before
         self._read_marks: deque[_ReadMark] = deque()  # oldest first
         self._at_cores_until_s = -math.inf  # the runs of all commands written before have reached the cores
@@ -77,9 +80,23 @@
         return run
 
     def end(self, request_id: str) -> KernelRun | None:
-        """Removes and returns a run that has ended; None if the id is unknown."""
+        """Removes and returns a run that has ended; None if the id is unknown, or that of a given-up run."""
+        if request_id in self._given_up:
+            del self._given_up[request_id]
+            return None
         return self._runs.pop(request_id, None)
 
+    def give_up(self, run: KernelRun) -> None:
+        """Removes a run whose outcome stays unknown; the kernel may still report its end."""
+        del self._runs[run.request.id]
+        self._given_up[run.request.id] = None
+        if len(self._given_up) > MAX_GIVEN_UP_RUNS:
+            del self._given_up[next(iter(self._given_up))]
+
+    def is_given_up(self, request_id: str) -> bool:
+        """Returns whether a given-up run of this id may go on at the kernel."""
+        return request_id in self._given_up
+
     def is_open(self, run: KernelRun) -> bool:
         """Returns whether this run has not ended, as opposed to a later run of the same id."""
         return self._runs.get(run.request.id) is run
--- a/ochrehoist/net/kernel_link.py
+++ b/ochrehoist/net/kernel_link.py
@@ -155,7 +155,15 @@
         return self._stream is not None
 
     def start(self, request: InboundRequest) -> None:
-        """Schedules a request at the kernel, as soon as the link is up."""
+        """Schedules a request at the kernel, as soon as the link is up.
+
+        A request with the id of a given-up run is not started: the kernel would take it for that run, and
+        report the end of that run as its own.
+        """
+        if self._runs.is_given_up(request.id):
+            self._log.warning("kernel_run_id_in_use", id=request.id)
+            self._core.post(RunCompleted(request.reference, RunResult(Outcome.NOT_STARTED), 0))
+            return
         run = self._runs.start(request)
         if self._stream is not None:
             self._schedule(self._stream, run)
@@ -265,8 +273,9 @@
 
     def _fail_unknown(self, run: KernelRun) -> None:
         if run.outcome_unknown and self._runs.is_open(run):
+            self._runs.give_up(run)
             duration_ns = int(UNKNOWN_OUTCOME_TIMEOUT_S * NS_PER_S)
-            self._end_run(RunReport(run.request.id, RunResult(Outcome.FAILED), duration_ns))
+            self._core.post(RunCompleted(run.request.reference, RunResult(Outcome.FAILED), duration_ns))
 
     def _receive_notices(self, stream: Stream) -> None:
         stream.write(open_command(self._offset))
--- a/tests/net/test_reused_ids.py
+++ b/tests/net/test_reused_ids.py
@@ -93,5 +93,34 @@
         self.assertEqual(router.answer(sequence_id), ("Answer", {}, b"served"))
 
 
+SHORT_UNKNOWN_OUTCOME = """
+from ochrehoist.net import kernel_link
+kernel_link.UNKNOWN_OUTCOME_TIMEOUT_S = 0.3
+"""
+
+
+class GivenUpRunTest(WorkerTestCase):
+    """A client that uses the id of a filing whose outcome stayed unknown after the loss of a link."""
+
+    def test_the_end_of_a_given_up_run_is_not_that_of_a_later_request_of_its_id(self):
+        # Guards against another filing's result: the kernel's notices name runs by their ids alone.
+        program = self.start(fault=SHORT_UNKNOWN_OUTCOME)
+        kernel, router = program.kernel, program.thrift_router()
+        kernel.runnable = 1.0  # the filing may run, so it is not proved lost
+        first = router.invoke("filing", b"first", token="first")
+        run_id = kernel.next_run().request_id
+        kernel.drop_connections()
+        self.assertEqual(router.answer(first)[0], "Broken")
+        second = router.invoke("filing", b"second", token="second", rid=run_id)
+        self.assertEqual(router.answer(second)[0], "Broken")
+        self.assertTrue(kernel.scheduled.empty())
+        kernel.reap(run_id, body=b"of the first")
+        program.wait_for(lambda status: f"'notices': {len(kernel.notices)}" in status["kernel"])
+        third = router.invoke("filing", b"third", token="third", rid=run_id)
+        self.assertEqual(kernel.next_run().body, b"third")
+        kernel.reap(run_id, body=b"of the third")
+        self.assertEqual(router.answer(third), ("Answer", {}, b"of the third"))
+
+
 if __name__ == "__main__":
     unittest.main()
