Keep waiting work and captured requests by references, not by ids that may be copied

Callers saw: nothing in service; found by looking for whatever knows a request by its id alone. Cause: the site gate and the load recorder kept open requests by id. A copy of an id in use is failed at once, and the observers of that answer removed the first request's work from the gate, and its record from the capture. Change: both use references.

--- a/ochrehoist/capture/recorder.py
+++ b/ochrehoist/capture/recorder.py
@@ -22,7 +22,7 @@
 from ochrehoist.config.schema import Config
 from ochrehoist.core.actor import CoreActor
 from ochrehoist.core.metrics import RequestCounter
-from ochrehoist.core.request import InboundRequest
+from ochrehoist.core.request import InboundRequest, RequestReference
 from ochrehoist.errors import InvalidInputError
 from ochrehoist.loop_protocols import StartBlockingCalls, TimerLoop
 from ochrehoist.periodic_calls import call_periodically
@@ -75,7 +75,7 @@
         self._make_folder()
         self._sampler = SubjectSampler(self._config.sample_fraction)
         self._batches = BatchWindow()
-        self._open_requests: dict[str, OpenRequest] = {}  # by request id
+        self._open_requests: dict[RequestReference, OpenRequest] = {}
         self._pending_records: list[Record] = []
         self._salt = 0  # of the subject hashes in the current file
         self._started_unix_ns = 0  # time that arrivals in the current file are relative to
@@ -104,17 +104,17 @@
         if controller is not None:
             running = controller.concurrency.running
             queued = len(controller.queue.jobs)
-        self._open_requests[request.id] = OpenRequest(request, subject, self._core.now_ns, running, queued)
+        self._open_requests[request.reference] = OpenRequest(
+            request, subject, self._core.now_ns, running, queued
+        )
 
     def request_answered(
         self, request: InboundRequest, counter: RequestCounter | None, retry_after_ns: int
     ) -> None:
         """Records a sampled request."""
-        open_request = self._open_requests.get(request.id)
-        # Not sampled, or another request has the same id.
-        if open_request is None or open_request.request is not request:
+        open_request = self._open_requests.pop(request.reference, None)
+        if open_request is None:  # not sampled, or answered before the core accepted it
             return
-        del self._open_requests[request.id]
         self._pending_records.append(self._record(open_request, counter, retry_after_ns))
         if self._batches.is_full(len(self._pending_records)):
             self._flush()
--- a/ochrehoist/sites/admission_gate.py
+++ b/ochrehoist/sites/admission_gate.py
@@ -11,7 +11,7 @@
 from ochrehoist.admission.events import Outcome
 from ochrehoist.admission.settings import AdmissionSettings
 from ochrehoist.core.metrics import RequestCounter
-from ochrehoist.core.request import InboundRequest
+from ochrehoist.core.request import InboundRequest, RequestReference
 from ochrehoist.core.results import Rejection
 from ochrehoist.core.tenants import TenantTable, initial_table
 from ochrehoist.sites.admission_threshold import AdmissionThreshold
@@ -74,9 +74,9 @@
         self.admitted = 0
         self.rejected: Counter[tuple[str, RejectionCause]] = Counter()  # by class and cause
         self._arrivals = 0  # first attempts since the last call of `take_arrivals`
-        # Estimated work in core seconds by request id.
-        self._waiting_work: dict[str, float] = {}
-        self._running_work: dict[str, float] = {}
+        # Estimated work in core seconds.
+        self._waiting_work: dict[RequestReference, float] = {}
+        self._running_work: dict[RequestReference, float] = {}
 
     def configure(self, settings: AdmissionSettings, tenants: TenantTable | None) -> None:
         """Applies changed settings; learned costs and rates are kept."""
@@ -104,7 +104,7 @@
             rank = self.shedding_order.rank(identity, class_name, request.tenant, now_s)
         if not excluded and (max_rank >= 1 or rank < max_rank):
             self.admitted += 1
-            self._waiting_work[request.id] = self.shedding_order.cost(class_name) or 0.0
+            self._waiting_work[request.reference] = self.shedding_order.cost(class_name) or 0.0
             return None
         self.rejected[class_name, RejectionCause.PLAYBOOK if excluded else RejectionCause.ORDER] += 1
         return self._rejection(identity, rank, loss)
@@ -158,13 +158,13 @@
 
     def run_started(self, request: InboundRequest, now_ns: int) -> None:  # noqa: ARG002
         """Moves the request's work from waiting to running."""
-        self._running_work[request.id] = self._waiting_work.pop(request.id, 0.0)
+        self._running_work[request.reference] = self._waiting_work.pop(request.reference, 0.0)
 
     def run_ended(self, request: InboundRequest, now_ns: int, duration_ns: int, outcome: Outcome) -> None:
         """Learns the class's cost from the run time, corrected for cores shared with concurrent runs."""
         now_s = now_ns / NS_PER_S
         concurrency = max(1, len(self._running_work))
-        self._running_work.pop(request.id, None)
+        self._running_work.pop(request.reference, None)
         recovery = self._pacing.recovery
         succeeded = outcome is Outcome.OK
         if succeeded and duration_ns > 0:
@@ -190,7 +190,7 @@
         retry_after_ns: int,  # noqa: ARG002
     ) -> None:
         """Removes the request's waiting work."""
-        self._waiting_work.pop(request.id, None)
+        self._waiting_work.pop(request.reference, None)
 
     # Calls of the coordinator.
 
