--- a/ochrehoist/recovery/witness_quorum.py
+++ b/ochrehoist/recovery/witness_quorum.py
@@ -4,11 +4,17 @@
 queries enough witnesses that any majority has one in common with them. Together they know all runs that were
 begun, as far back as the youngest of their logs is complete. A witness that lost its log reports the log's
 age, so it proves nothing about the time before.
+
+A witness of an earlier release cuts each page from the intents that it has at that moment, so intents that
+expire or are withdrawn move the later ones to earlier pages. Pages are therefore queried from the last to the
+first: an intent can only move ahead of the pages that were queried already, never behind them. The first
+query only tells how many pages there are, under a number of its own, so that a late repetition of its answer
+is no page of the rest.
 """
 
 import math
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ochrehoist.recovery import quorum
 from ochrehoist.recovery.messages import IntentPage, QueryIntents, encode, key_digest
@@ -19,21 +25,34 @@
 
 @dataclass(slots=True)
 class WitnessReport:
-    """The pages of one witness's answer received so far."""
+    """One witness's answer, as far as it was received.
+
+    Attributes:
+        query: The query whose answer is expected next.
+        log_age_s: Age of the witness's complete log at its last answer, of the youngest log if it restarted
+            between two answers; None before the first one.
+        answered_at: When the last answer arrived.
+        is_complete: Whether all pages have been received.
+    """
 
-    log_age_s: float | None = None  # age of its complete log at its first answer
+    query: QueryIntents
+    log_age_s: float | None = None
     answered_at: float = 0.0
-    page_count: int = 1
-    received_pages: set[int] = field(default_factory=set)
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether all pages have been received."""
-        return self.log_age_s is not None and len(self.received_pages) >= self.page_count
-
-    def next_page(self) -> int:
-        """Returns the number of the first missing page."""
-        return next(page for page in range(self.page_count + 1) if page not in self.received_pages)
+    is_complete: bool = False
+
+    def advance(self, page: IntentPage, now: float) -> None:
+        """Sets the next query after the answer to the present one."""
+        is_first = self.log_age_s is None
+        age_s = page.age_ms / 1000
+        self.log_age_s = age_s if is_first else min(age_s, self.age_at(now))
+        self.answered_at = now
+        if is_first:
+            self.is_complete = page.pages <= 1
+            self.query = QueryIntents(self.query.number + 1, page.pages - 1)
+        elif page.page == 0:
+            self.is_complete = True
+        else:  # the answer may have fewer pages by now
+            self.query = QueryIntents(self.query.number, min(page.page, page.pages) - 1)
 
     def age_at(self, now: float) -> float:
         """Returns how far back the witness's log is complete, in s before `now`."""
@@ -50,9 +69,8 @@
     def __init__(self, witnesses: Sequence[str], window_s: float, query_number: int, now: float) -> None:
         self.window_s = window_s
         self.started_at = now
-        self._query_number = query_number
         self._read_quorum = quorum.quorum_sizes(len(witnesses)).read
-        self._reports = {name: WitnessReport() for name in witnesses}
+        self._reports = {name: WitnessReport(QueryIntents(query_number, 0)) for name in witnesses}
         self._last_sent_at = -math.inf
         self.expiry_by_digest: dict[bytes, float] = {}  # ends of the idempotency windows of begun runs
 
@@ -62,23 +80,19 @@
             return []
         self._last_sent_at = now
         return [
-            EncodedWitnessMessage(witness, encode(QueryIntents(self._query_number, report.next_page())))
+            EncodedWitnessMessage(witness, encode(report.query))
             for witness, report in self._reports.items()
             if not report.is_complete
         ]
 
     def add_page(self, witness: str, page: IntentPage, now: float) -> None:
-        """Adds one page; ignores pages that answer no query of this start."""
+        """Adds one page; ignores pages that do not answer the present query, such as repeated ones."""
         report = self._reports.get(witness)
-        if report is None or page.number != self._query_number:
+        if report is None or report.is_complete or not 1 <= page.pages <= MAX_PAGES:
             return
-        if not 0 <= page.page < page.pages <= MAX_PAGES:
+        if QueryIntents(page.number, page.page) != report.query:
             return
-        if report.log_age_s is None:
-            report.log_age_s = page.age_ms / 1000
-            report.answered_at = now
-        report.page_count = page.pages
-        report.received_pages.add(page.page)
+        report.advance(page, now)
         for digest, remaining_ms in page.intents:
             self.expiry_by_digest[digest] = max(
                 self.expiry_by_digest.get(digest, 0.0), now + remaining_ms / 1000
