Withdraw an attempt's intent before the next attempt's, so that the latter stays recorded

Callers saw: filings that ran twice, repeated as soon as their 502 came, after a server was away and a folder was lost. Cause: the withdrawal of an attempt was sent with the intent of the next one, and witnesses applied it last. Change: a worker leaves out the withdrawal of a key that a later attempt uses; a witness applies withdrawals first.

--- a/ochrehoist/recovery/intent_log.py
+++ b/ochrehoist/recovery/intent_log.py
@@ -49,18 +49,19 @@
     def record(self, worker: str, message: RecordIntent, now: float) -> bool:
         """Records the intents of a message; returns False if the log is full.
 
-        A message that was not recorded must not be acknowledged.
+        Withdrawals come first: those in a message are of earlier attempts than its intents. A message that
+        was not recorded must not be acknowledged.
         """
         expiry = self._expiry_by_worker.setdefault(worker, OrderedDict())
+        for digest in message.withdrawn:
+            if expiry.pop(digest, None) is not None:
+                self.count -= 1
         new_count = len([digest for digest, _ in message.intents if digest not in expiry])
         if not self._has_room(new_count, now):
             return False
         for digest, remaining_ms in message.intents:
             expiry[digest] = max(expiry.get(digest, 0.0), now + max(0, remaining_ms) / 1000)
         self.count += new_count
-        for digest in message.withdrawn:
-            if expiry.pop(digest, None) is not None:
-                self.count -= 1
         return True
 
     def _has_room(self, new_count: int, now: float) -> bool:
--- a/ochrehoist/recovery/pending_intents.py
+++ b/ochrehoist/recovery/pending_intents.py
@@ -84,8 +84,7 @@
         self._requests_by_message[self._message_number] = tuple(requests)
         while len(self._requests_by_message) > MAX_SENT_MESSAGES:
             self._requests_by_message.popitem(last=False)
-        withdrawn = self._withdrawn
-        self._withdrawn = []
+        withdrawn = self._take_withdrawn()
         outgoing = []
         for witness in self._witnesses:
             message = self._message_for(witness, requests, withdrawn, now)
@@ -93,6 +92,16 @@
                 outgoing.append(EncodedWitnessMessage(witness, encode(message)))
         return outgoing
 
+    def _take_withdrawn(self) -> list[bytes]:
+        """Returns the withdrawals to send, without those of keys that a later attempt uses.
+
+        Witnesses of earlier releases apply the withdrawals of a message after its intents.
+        """
+        used = {intent.digest for intent in self._pending.values()} if self._withdrawn else set()
+        withdrawn = [digest for digest in self._withdrawn if digest not in used]
+        self._withdrawn = []
+        return withdrawn
+
     def _message_for(
         self, witness: str, requests: list[RequestReference], withdrawn: list[bytes], now: float
     ) -> RecordIntent:
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -161,6 +161,26 @@
             self.assertTrue(log.record("w", RecordIntent(3, [(b"a", 9000), (b"b", 9000)]), 3.0))
             self.assertFalse(log.record("v", RecordIntent(4, [(b"c", 9000)]), 3.0))
 
+    def test_the_withdrawal_of_an_attempt_leaves_the_intent_of_the_next_one(self):
+        # Guards against a second run: a message had an intent and the withdrawal of the attempt before.
+        pending, log, former_log = PendingIntents(["a"]), IntentLog(0.0), IntentLog(0.0)
+        first, second = RequestReference("r1", 1), RequestReference("r2", 2)
+        pending.add(first, b"k", WINDOW, 0.25, 0.0)
+        pending.remove_timed_out(1.0)
+        pending.withdraw(b"k")
+        pending.withdraw(b"other")
+        pending.add(second, b"k", WINDOW, 0.25, 1.0)
+        ((_, data),) = pending.messages(1.0, lambda _request: True)
+        message = decode("tell", data)
+        self.assertEqual(message.withdrawn, [key_digest(b"other")])
+        log.record("w", message, 1.0)
+        self.assertEqual(log.counts(), {"w": 1})
+        # As the release before sent it.
+        message.withdrawn.append(key_digest(b"k"))
+        former_log.record("w", RecordIntent(1, message.intents), 0.0)
+        former_log.record("w", message, 1.0)
+        self.assertEqual((former_log.counts(), former_log.count), ({"w": 1}, 1))
+
     @given(st.sampled_from(["tell", "told", "ask", "known", "x"]), st.binary(max_size=120))
     def test_malformed_messages_are_ignored(self, topic, data):
         decode(topic, data)
