Put on disk, or in force before the first request, what binds a process after a restart

Change: a stored intent gets its class's window in the settings if that is longer; with witnesses, the hold of a first start is written into the new store as it is created; unknown keys are accepted once the core has adopted the runs. Learned state is saved periodically also after a save that raised.

--- a/ochrehoist/core/idempotent_runs.py
+++ b/ochrehoist/core/idempotent_runs.py
@@ -191,6 +191,7 @@
         """Adopts the runs and learned state read from the store; runs added since take precedence."""
         message.runs.update(self._core.idempotency.runs)
         self._core.idempotency.runs = message.runs
+        message.on_adopted()
         self._learned_state = message.learned_state
         self.restore_learned_state()
 
--- a/ochrehoist/core/messages.py
+++ b/ochrehoist/core/messages.py
@@ -91,6 +91,7 @@
 
     runs: dict[IdempotencyKey, IdempotentRun]
     learned_state: LearnedState | None
+    on_adopted: Callable[[], None] = lambda: None
 
 
 @dataclass(slots=True)
--- a/ochrehoist/store/folder_opener.py
+++ b/ochrehoist/store/folder_opener.py
@@ -2,7 +2,7 @@
 
 import gc
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ochrehoist.loop_protocols import BlockingCalls, TimerLoop
 from ochrehoist.store.commit_scheduler import StoreFailureLog
@@ -27,7 +27,8 @@
         thread: carries out calls that wait for the disk.
         session: the state folder.
         failures: records why the folder could not be opened.
-        longest_window_ns: the longest idempotency window of the settings in force.
+        windows_ns: the idempotency windows of the settings in force by class name.
+        hold_at_first_start: whether a first start in this folder may follow the loss of another one.
         clock_ns: the core's clock.
         opened: called on the loop once the folder is open.
     """
@@ -38,7 +39,8 @@
         thread: BlockingCalls,
         session: FolderSession,
         failures: StoreFailureLog,
-        longest_window_ns: Callable[[], int],
+        windows_ns: Callable[[], Mapping[str, int]],
+        hold_at_first_start: Callable[[], bool],
         clock_ns: Callable[[], int],
         opened: Callable[[OpenedFolder], None],
     ) -> None:
@@ -46,7 +48,8 @@
         self._thread = thread
         self._session = session
         self._failures = failures
-        self._longest_window_ns = longest_window_ns
+        self._windows_ns = windows_ns
+        self._hold_at_first_start = hold_at_first_start
         self._clock_ns = clock_ns
         self._opened = opened
         self._requested_at = time.monotonic()
@@ -63,10 +66,11 @@
         self._stopping = True
 
     def _attempt(self) -> None:
-        longest_window_ns = self._longest_window_ns()
+        windows_ns = self._windows_ns()
+        hold_at_first_start = self._hold_at_first_start()
         gc.disable()  # restored runs stay alive, and collections while they are read would double the time
         self._thread.submit(
-            lambda: self._session.open(longest_window_ns, self._clock_ns), self._attempt_ended
+            lambda: self._session.open(windows_ns, hold_at_first_start, self._clock_ns), self._attempt_ended
         )
 
     def _attempt_ended(self, folder: OpenedFolder | None, error: Exception | None) -> None:
--- a/ochrehoist/store/folder_session.py
+++ b/ochrehoist/store/folder_session.py
@@ -4,7 +4,7 @@
 `finish_rebuild`, which are called on the loop.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -58,9 +58,13 @@
         """Locks the folder. Raises StoreLockedError, OSError."""
         self._lock = FolderLock(self.folder, self._worker_name)
 
-    def open(self, longest_window_ns: int, clock_ns: Callable[[], int]) -> OpenedFolder:
+    def open(
+        self, windows_ns: Mapping[str, int], hold_at_first_start: bool, clock_ns: Callable[[], int]
+    ) -> OpenedFolder:
         """Locks the folder if necessary, and opens its store; the caller passes the store to `use`.
 
+        See `open_store` for `windows_ns` and `hold_at_first_start`; `clock_ns` is the core's clock.
+
         Raises StoreLockedError, StoreFailedError and OSError, after which it can be retried.
         """
         failpoints.reached(Failpoint.FOLDER_OPENING)
@@ -70,7 +74,10 @@
         failpoints.reached(Failpoint.FOLDER_LOCKED)
         # Both clocks are read together before the store is opened, since windows expire meanwhile.
         now, now_ns = current_timestamp(), clock_ns()
-        store = open_store(self.folder, self._config.max_mb, longest_window_ns, now)
+        longest_window_ns = max(windows_ns.values(), default=0)
+        store = open_store(
+            self.folder, self._config.max_mb, longest_window_ns, now, windows_ns, hold_at_first_start
+        )
         self._watermark = CommitWatermark(self.folder)
         self._watermark.write(store.database.summary.commit_number)
         return OpenedFolder(store, restored_runs(store.intents, now_ns))
--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -19,6 +19,7 @@
 from ochrehoist.core.results import Rejection, RunResult
 from ochrehoist.errors import InvalidInputError
 from ochrehoist.loop_protocols import StartBlockingCalls, TimerLoop
+from ochrehoist.periodic_calls import call_periodically
 from ochrehoist.store import failpoints
 from ochrehoist.store.commit_scheduler import CommitScheduler, RebuildContents, StoreFailureLog
 from ochrehoist.store.damage import StoreCondition, remaining_hold_ns
@@ -75,7 +76,7 @@
         log: Any,
         replacing: bool,
     ) -> None:
-        self.restored = False  # whether the stored state was sent to the core
+        self.restored = False  # whether the core has adopted the stored state
         self._loop = loop
         self._owner = owner
         self._config = config
@@ -103,7 +104,8 @@
             self._thread,
             self._session,
             self._failures,
-            self._longest_window_ns,
+            self._windows_ns,
+            lambda: self._replicator is not None,
             owner.clock,
             self._opened,
         )
@@ -126,7 +128,7 @@
             self._failures.record_failure(store_failure(error))
 
     def register_restored_listener(self, listener: Callable[[], None]) -> None:
-        """Registers a function that is called once the stored state was sent to the core."""
+        """Registers a function that is called once the core has adopted the stored state."""
         self._restored_listeners.append(listener)
 
     def replicate_intents_to(self, replicator: IntentReplicator) -> None:
@@ -265,8 +267,7 @@
         return RebuildContents(intents, self._store_in_use().loss, self._learned)
 
     def _recorder(self) -> IntentRecorder:
-        windows_ns = {c.name: c.idempotency_window_ns for c in self._owner.settings.classes}
-        return IntentRecorder(self._name, windows_ns, self._owner.clock(), current_timestamp())
+        return IntentRecorder(self._name, self._windows_ns(), self._owner.clock(), current_timestamp())
 
     def _store_in_use(self) -> OpenStore:
         if self._session.store is None:
@@ -279,8 +280,8 @@
         """Starts opening the store; a `StateRestored` message follows once it is open."""
         self._opener.open()
 
-    def _longest_window_ns(self) -> int:
-        return max((c.idempotency_window_ns for c in self._owner.settings.classes), default=0)
+    def _windows_ns(self) -> dict[str, int]:
+        return {c.name: c.idempotency_window_ns for c in self._owner.settings.classes}
 
     def _opened(self, opened: OpenedFolder) -> None:
         self._session.use(opened.store)
@@ -298,12 +299,15 @@
         if self._replicator is not None:
             self._replicator.journal_opened([encode_key(key) for key in {**opened.runs, **known_runs}])
         gc.freeze()  # excludes the restored runs, which are long-lived, from later collections
-        self._owner.post(StateRestored(opened.runs, learned))
+        self._owner.post(StateRestored(opened.runs, learned, self._state_adopted))
+        self._scheduler.run()
+        call_periodically(self._loop, self._config.snapshot_interval_s, self._save_learned_regularly)
+
+    def _state_adopted(self) -> None:
+        """Accepts unknown keys from now on; requests that the core handled before could not know all runs."""
         self.restored = True
         for listener in self._restored_listeners:
             listener()
-        self._scheduler.run()
-        self._loop.call_later(self._config.snapshot_interval_s, self._save_learned_regularly)
 
     def _report_condition(self, store: OpenStore) -> None:
         reasons = store.loss_reasons
@@ -340,11 +344,12 @@
 
     # Learned state.
 
-    def _save_learned_regularly(self) -> None:
+    def _save_learned_regularly(self) -> bool:
+        """Saves the learned state; returns False once this process no longer writes to the folder."""
         if self._stopping or self._released:
-            return
+            return False
         self._save_learned()
-        self._loop.call_later(self._config.snapshot_interval_s, self._save_learned_regularly)
+        return True
 
     def _save_learned(self) -> None:
         if self._owner.controller is not None and self.restored:
--- a/ochrehoist/store/store_repair.py
+++ b/ochrehoist/store/store_repair.py
@@ -5,7 +5,7 @@
 """
 
 import uuid
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,6 +13,7 @@
 import apsw
 import msgspec
 
+from ochrehoist.core.idempotency_table import WINDOW_MARGIN_NS
 from ochrehoist.store import files
 from ochrehoist.store.damage import DamageAssessment, FolderInspection, StoreCondition, assess_damage
 from ochrehoist.store.database import (
@@ -38,6 +39,7 @@
 from ochrehoist.units import NS_PER_S
 
 HOLD_MARGIN_NS = NS_PER_S  # added to the longest window, for requests in flight at the time of the loss
+FIRST_START_REASON = "first start: witnesses may know of earlier runs"
 
 
 class LiveIntent(msgspec.Struct, gc=False):
@@ -73,7 +75,14 @@
     set_aside: list[str] = field(default_factory=list)
 
 
-def open_store(folder: Path, max_mb: float, longest_window_ns: int, now: Timestamp) -> OpenStore:
+def open_store(
+    folder: Path,
+    max_mb: float,
+    longest_window_ns: int,
+    now: Timestamp,
+    windows_ns: Mapping[str, int] | None = None,
+    hold_at_first_start: bool = False,
+) -> OpenStore:
     """Opens the store of a folder, after creating, merging or repairing it if necessary.
 
     Args:
@@ -81,6 +90,10 @@
         max_mb: the size limit of the store in MB; 0: no limit.
         longest_window_ns: the longest idempotency window of the settings.
         now: the current time.
+        windows_ns: the idempotency windows of the settings by class name; a longer one than that of a stored
+            intent applies to the intent too.
+        hold_at_first_start: whether an empty folder may have been lost, so that the hold of unknown requests
+            is recorded before any request is accepted.
 
     Raises StoreFailedError or OSError if the disk fails.
     """
@@ -97,7 +110,7 @@
     assessment = _with_migration_damage(assess_damage(inspection), migration_damage or [])
     if marker is not None:
         longest_window_ns = max(longest_window_ns, marker.longest_window_ns)
-    loss = _new_loss(assessment, longest_window_ns, now)
+    loss = _new_loss(assessment, longest_window_ns, now, hold_at_first_start)
     contents, set_aside = _repair(path, contents, assessment, loss, watermark)
     _update_marker(folder, marker, longest_window_ns, newer_stores)
     database = Database(path, max_mb)
@@ -105,7 +118,7 @@
     opened = OpenStore(
         database, assessment.condition, [], [], contents.learned, contents.loss, assessment.reasons, set_aside
     )
-    _separate_expired(opened, contents, now)
+    _separate_expired(opened, contents, now, windows_ns or {})
     return opened
 
 
@@ -167,10 +180,15 @@
     return DamageAssessment(StoreCondition.LOST, assessment.reasons + damage, assessment.must_set_aside)
 
 
-def _new_loss(assessment: DamageAssessment, longest_window_ns: int, now: Timestamp) -> DataLossRecord | None:
-    if assessment.condition is not StoreCondition.LOST:
-        return None
-    return DataLossRecord(now, longest_window_ns + HOLD_MARGIN_NS, "; ".join(assessment.reasons))
+def _new_loss(
+    assessment: DamageAssessment, longest_window_ns: int, now: Timestamp, hold_at_first_start: bool
+) -> DataLossRecord | None:
+    hold_ns = longest_window_ns + HOLD_MARGIN_NS
+    if assessment.condition is StoreCondition.LOST:
+        return DataLossRecord(now, hold_ns, "; ".join(assessment.reasons))
+    if assessment.condition is StoreCondition.FIRST_START and hold_at_first_start:
+        return DataLossRecord(now, hold_ns, FIRST_START_REASON)
+    return None
 
 
 def _repair(
@@ -263,9 +281,20 @@
     files.write_marker(folder, marker, store_id, {"longest_window": longest_window_ns, "newer": newer_stores})
 
 
-def _separate_expired(opened: OpenStore, contents: StoreContents, now: Timestamp) -> None:
+def _extension_ns(record: IntentRecord, windows_ns: Mapping[str, int]) -> int:
+    """Returns by how much the settings' window of the intent's class exceeds the one it was recorded with."""
+    longer_ns = windows_ns.get(record.idempotency_key[1], 0) - record.window_ns
+    return longer_ns + WINDOW_MARGIN_NS if longer_ns > 0 else 0
+
+
+def _separate_expired(
+    opened: OpenStore, contents: StoreContents, now: Timestamp, windows_ns: Mapping[str, int]
+) -> None:
     for record, has_result in zip(contents.intents, contents.has_result, strict=True):
-        remaining_ns = remaining_window_ns(record.recorded_at, record.remaining_ns, record.window_ns, now)
+        extension_ns = _extension_ns(record, windows_ns)
+        remaining_ns = remaining_window_ns(
+            record.recorded_at, record.remaining_ns + extension_ns, record.window_ns + extension_ns, now
+        )
         if remaining_ns > 0:
             opened.intents.append(LiveIntent(record, remaining_ns, bool(has_result)))
         else:
--- a/tests/store/test_opening.py
+++ b/tests/store/test_opening.py
@@ -9,6 +9,7 @@
 from ochrehoist.store.records import (
     FORMAT_VERSION,
 )
+from ochrehoist.store.store_repair import open_store
 from ochrehoist.store.timestamps import Timestamp
 from ochrehoist.units import NS_PER_S
 from tests.store.store_folder import NOW, WINDOW_NS, StoreFolderTestCase
@@ -44,6 +45,29 @@
         after_window = self.open(Timestamp(NOW.unix_ns, NOW.boot_id, NOW.since_boot_ns + WINDOW_NS))
         self.assertEqual((after_window.intents, len(after_window.expired_intents)), ([], count))
 
+    def test_longer_windows_of_the_settings_apply_to_stored_intents(self):
+        count = len(self.write_store())
+        later = Timestamp(NOW.unix_ns, NOW.boot_id, NOW.since_boot_ns + WINDOW_NS)
+        for windows_ns, live in (
+            ({"filing": 2 * WINDOW_NS}, count),
+            ({"filing": WINDOW_NS, "other": 1 << 60}, 0),
+        ):
+            opened = open_store(self.folder, 64, WINDOW_NS, later, windows_ns)
+            self.assertEqual((len(opened.intents), len(opened.expired_intents)), (live, count - live))
+            opened.database.close()
+
+    def test_the_hold_of_a_first_start_is_on_record_if_earlier_runs_may_be_lost(self):
+        self.assertIsNone(self.open().loss)
+        for path in self.folder.iterdir():
+            path.unlink()
+        opened = open_store(self.folder, 64, WINDOW_NS, NOW, {}, True)
+        self.assertEqual((opened.condition, opened.loss_reasons), (StoreCondition.FIRST_START, []))
+        opened.database.close()
+        second = open_store(self.folder, 64, WINDOW_NS, NOW, {}, True)
+        self.addCleanup(second.database.close)
+        self.assertEqual((second.condition, second.loss), (StoreCondition.SOUND, opened.loss))
+        self.assertGreaterEqual(second.loss.hold_ns, WINDOW_NS)
+
     def test_an_interrupted_replacement_of_the_store_is_completed(self):
         written = self.write_store()
         for suffix in (files.NEW_SUFFIX, files.REPLACEMENT_SUFFIX):
--- a/tests/store/test_restart.py
+++ b/tests/store/test_restart.py
@@ -4,6 +4,7 @@
 import signal
 from typing import Any, ClassVar
 
+from ochrehoist.lab.toml import toml_file
 from tests.stand_ins.moving_kernel import MovingKernel
 from tests.store.worker_state_case import WorkerStateTestCase
 from tests.support.environment import MS
@@ -28,6 +29,23 @@
 folder_session.open_store = open_store
 """
 
+# The core gets the stored runs only once the file `adopt` is there, as if other messages were before them.
+LATE_STATE = """
+import os
+from ochrehoist.core import actor, messages
+flag = os.path.join(os.path.dirname(__file__), "adopt")
+post = actor.CoreActor.post
+def post_late(self, message):
+    if not isinstance(message, messages.StateRestored):
+        return post(self, message)
+    if os.path.exists(flag):
+        post(self, message)
+        self.log.info("adopted")
+    else:
+        self.waker._loop.call_later(0.02, lambda: post_late(self, message))
+actor.CoreActor.post = post_late
+"""
+
 
 class RestartTest(WorkerStateTestCase):
     """Filings of a process that has ended, in a folder on a real disk with its syncs."""
@@ -102,6 +120,45 @@
         second.server.next_request().respond(data=b"two")
         self.assertEqual(client.answer()[2], b"two")
 
+    def test_a_window_that_a_reload_made_longer_survives_a_kill(self):
+        # Guards against a second run: a reload extended the windows of earlier filings in memory only.
+        settings, longer = long_window_settings(), long_window_settings()
+        settings["Classes"][1]["Window"] = 10_000 * MS
+        longer["Classes"][1]["Window"] = 60_000 * MS
+        first = self.start(site=settings)
+        client = first.ajp_client()
+        self.send_filing(client, "k")
+        first.server.next_request().respond(data=b"one")
+        client.answer()
+        self.wait_for_operations(first, 2)
+        first.reload("ajp.toml", toml_file(first.appliance | {"settings": longer}))
+        self.kill(first)
+        second = self.start(site=longer, fault=ADVANCE_CLOCKS.format(opening=20, later=0))
+        client = second.ajp_client()
+        self.send_filing(client, "k")
+        self.assertEqual(client.answer()[2], b"one")
+        self.assertEqual(second.server.received.qsize(), 0)
+
+    def test_no_filing_on_record_runs_while_the_core_does_not_know_it_yet(self):
+        # Guards against a second run: filings were accepted once the stored runs were in the core's inbox.
+        first = self.start()
+        client = first.ajp_client()
+        self.send_filing(client, "k")
+        first.server.next_request().respond(data=b"one")
+        client.answer()
+        self.wait_for_operations(first, 2)
+        self.kill(first)
+        second = self.start(fault=LATE_STATE)
+        second.wait_for(lambda status: status["state"] == "up")
+        client = second.ajp_client()
+        self.send_filing(client, "k")
+        self.assertEqual(client.answer()[0], 502)
+        second.write_file("adopt", "")
+        self.wait_until(lambda: second.logged("adopted"))
+        self.send_filing(client, "k")
+        self.assertEqual(client.answer()[2], b"one")
+        self.assertEqual(second.server.received.qsize(), 0)
+
     def test_results_are_replayed_after_the_clock_was_set_while_the_worker_was_down(self):
         first = self.start()
         client = first.ajp_client()
