--- a/ochrehoist/app/replacement.py
+++ b/ochrehoist/app/replacement.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from ochrehoist.app.worker_parts import WorkerParts
-from ochrehoist.net.ajp import ReplyCodec
+from ochrehoist.net.ajp_reply_codec import ReplyCodec
 from ochrehoist.net.handover_client import HandoverClient
 from ochrehoist.net.handover_server import HandoverServer
 
--- a/ochrehoist/app/worker_parts.py
+++ b/ochrehoist/app/worker_parts.py
@@ -302,7 +302,7 @@
         config = self.config
         if not config.state:
             return None
-        from ochrehoist.net.ajp import ReplyCodec
+        from ochrehoist.net.ajp_reply_codec import ReplyCodec
         from ochrehoist.net.blocking_calls import BlockingCallThread
         from ochrehoist.store.journal import Journal
 
--- a/ochrehoist/core/protocols.py
+++ b/ochrehoist/core/protocols.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ochrehoist.admission.events import ConcurrencyLimits, Outcome
-from ochrehoist.core.results import FailureReason, Rejection, RunResult
+from ochrehoist.core.results import Rejection, RunResult
 
 if TYPE_CHECKING:
     from ochrehoist.core.idempotency_table import IdempotentRun
@@ -38,38 +38,6 @@
         ...
 
 
-class Responder(Protocol):
-    """Sender of one final answer to the caller. A caller that has disconnected is not an error."""
-
-    def served(self, result: RunResult) -> bool:
-        """Sends a result; returns False if the wire protocol cannot carry it and a failure was sent."""
-        ...
-
-    def rejected(self, retry_after_ns: int, no_retry: bool) -> None:
-        """Sends a rejection: the request did not run."""
-        ...
-
-    def failed(self, reason: FailureReason, result: RunResult | None = None) -> None:
-        """Sends a failure; `result` is that of the run, if it has ended."""
-        ...
-
-    def origin(self) -> tuple[str, str]:
-        """Returns the name of the front and the caller's address; empty texts if unknown."""
-        ...
-
-
-class Executor(Protocol):
-    """Service that runs requests."""
-
-    def start(self, request: InboundRequest) -> None:
-        """Starts a run.
-
-        Exactly one RunCompleted message is posted for each start, also after a failure. If this method
-        raises, the core posts it.
-        """
-        ...
-
-
 class RequestObserver(Protocol):
     """Observer of the requests that the core decides on. It must not modify them."""
 
--- a/ochrehoist/core/request.py
+++ b/ochrehoist/core/request.py
@@ -1,4 +1,4 @@
-"""A completely read request and the state of its handling."""
+"""A completely read request, the state of its handling, and what answers and runs it."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 from ochrehoist.admission.settings import RequestClass
 
 if TYPE_CHECKING:
-    from ochrehoist.core.protocols import Executor, Responder
+    from ochrehoist.core.results import FailureReason, RunResult
 
 # Identifies one filing: the names of its tenant and class, and the key that the caller chose.
 IdempotencyKey = tuple[str | None, str, str]
@@ -46,6 +46,38 @@
     return RequestReference(request_id, _next_serial())
 
 
+class Responder(Protocol):
+    """Sender of one final answer to the caller. A caller that has disconnected is not an error."""
+
+    def served(self, result: RunResult) -> bool:
+        """Sends a result; returns False if the wire protocol cannot carry it and a failure was sent."""
+        ...
+
+    def rejected(self, retry_after_ns: int, no_retry: bool) -> None:
+        """Sends a rejection: the request did not run."""
+        ...
+
+    def failed(self, reason: FailureReason, result: RunResult | None = None) -> None:
+        """Sends a failure; `result` is that of the run, if it has ended."""
+        ...
+
+    def origin(self) -> tuple[str, str]:
+        """Returns the name of the front and the caller's address; empty texts if unknown."""
+        ...
+
+
+class Executor(Protocol):
+    """Service that runs requests."""
+
+    def start(self, request: InboundRequest) -> None:
+        """Starts a run.
+
+        Exactly one RunCompleted message is posted for each start, also after a failure. If this method
+        raises, the core posts it.
+        """
+        ...
+
+
 @dataclass(slots=True, eq=False)
 class InboundRequest:
     """One completely read request and the state of its handling.
--- a/ochrehoist/net/ajp.py
+++ b/ochrehoist/net/ajp.py
@@ -8,7 +8,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Any
 
 from ochrehoist.errors import OchrehoistError
 
@@ -310,20 +309,6 @@
     body: bytes = b""
 
 
-class ReplyCodec:
-    """The DetailCodec of AJP responses: converts their status and headers to and from JSON."""
-
-    def to_json(self, detail: object) -> dict[str, Any] | None:
-        """Returns the detail in JSON, or None if another executor produced it."""
-        if not isinstance(detail, Reply):
-            return None
-        return {"status": detail.status, "headers": detail.headers.hex()}
-
-    def from_json(self, data: Any) -> Reply | None:
-        """Returns the detail without its body; raises KeyError, TypeError or ValueError for invalid data."""
-        return None if data is None else Reply(int(data["status"]), bytes.fromhex(data["headers"]))
-
-
 def parse_headers(payload: bytes) -> Reply:
     """Parses the payload of a Send Headers packet; returns a response without its body."""
     reader = PacketReader(payload, 1)
--- a/ochrehoist/net/ajp_connection.py
+++ b/ochrehoist/net/ajp_connection.py
@@ -14,8 +14,8 @@
 from ochrehoist.core.request import InboundRequest
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.net import ajp
+from ochrehoist.net.ajp_exchange import read_packet
 from ochrehoist.net.ajp_reader import AjpReader, CheckedRequest, RequestRejectedError
-from ochrehoist.net.ajp_server import read_packet
 from ochrehoist.net.front import MESSAGE_ARRIVAL_TIMEOUT_S, FrontConnection, FrontContext
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import ConnectionClosedError, Stream, StreamTimeoutError
@@ -73,7 +73,7 @@
         self._send_response(status, b"text/plain; charset=utf-8", text, headers)
 
     def served(self, result: RunResult) -> bool:
-        """See core.protocols.Responder."""
+        """See core.request.Responder."""
         self._connection.served = True
         if isinstance(result.detail, ajp.Reply):
             self._send(result.detail.headers, result.body)
@@ -82,7 +82,7 @@
         return True
 
     def rejected(self, retry_after_ns: int, no_retry: bool) -> None:  # noqa: ARG002 (HTTP cannot express it)
-        """See core.protocols.Responder."""
+        """See core.request.Responder."""
         self.send_text(
             HTTPStatus.SERVICE_UNAVAILABLE,
             "turned away, never run",
@@ -90,7 +90,7 @@
         )
 
     def failed(self, reason: FailureReason, result: RunResult | None = None) -> None:
-        """See core.protocols.Responder; sends the server's own error page if there is one."""
+        """See core.request.Responder; sends the server's own error page if there is one."""
         if result is not None and isinstance(result.detail, ajp.Reply):
             self._send(result.detail.headers, result.body)
             return
@@ -100,7 +100,7 @@
         self.send_text(status, reason.value)
 
     def origin(self) -> tuple[str, str]:
-        """See core.protocols.Responder."""
+        """See core.request.Responder."""
         return "ajp", self._connection.stream.peer_address
 
     def _send_response(
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -7,7 +7,8 @@
 from ochrehoist.admission.settings import AdmissionSettings
 from ochrehoist.config.tables import AjpConfig
 from ochrehoist.core.actor import CoreActor
-from ochrehoist.core.protocols import AdmissionFilter, Executor, Logger
+from ochrehoist.core.protocols import AdmissionFilter, Logger
+from ochrehoist.core.request import Executor
 from ochrehoist.net.ajp_connection import AjpConnection
 from ochrehoist.net.ajp_reader import AjpReader
 from ochrehoist.net.front import (
--- a/ochrehoist/net/ajp_reader.py
+++ b/ochrehoist/net/ajp_reader.py
@@ -12,8 +12,7 @@
 from ochrehoist.admission.settings import AdmissionSettings, Idempotency, RequestClass
 from ochrehoist.config.tables import AjpConfig
 from ochrehoist.core.actor import CoreActor
-from ochrehoist.core.protocols import Executor, Responder
-from ochrehoist.core.request import InboundRequest
+from ochrehoist.core.request import Executor, InboundRequest, Responder
 from ochrehoist.errors import OchrehoistError
 from ochrehoist.net import ajp
 from ochrehoist.net.route_index import RouteIndex
--- a/ochrehoist/net/thrift_connection.py
+++ b/ochrehoist/net/thrift_connection.py
@@ -69,7 +69,7 @@
         self._connection.answer(self, thrift.encode_reply(INVOKE, self.sequence_id, field_id, value))
 
     def served(self, result: RunResult) -> bool:
-        """See core.protocols.Responder."""
+        """See core.request.Responder."""
         if not result.success or len(result.body) > MAX_RESULT_BYTES:
             # The result of a filing that ran for another front: an error response, or too large for Thrift.
             self._reply(
@@ -82,7 +82,7 @@
         return True
 
     def rejected(self, retry_after_ns: int, no_retry: bool) -> None:
-        """See core.protocols.Responder."""
+        """See core.request.Responder."""
         values = {}
         if retry_after_ns >= NS_PER_MS:
             values[b"backoff"] = b"%d" % (retry_after_ns // NS_PER_MS)
@@ -91,11 +91,11 @@
         self._reply(REJECTED, thrift.encode_service_exception(values))
 
     def failed(self, reason: FailureReason, result: RunResult | None = None) -> None:  # noqa: ARG002 (not sent)
-        """See core.protocols.Responder; the protocol has no field for the result of a failed run."""
+        """See core.request.Responder; the protocol has no field for the result of a failed run."""
         self._reply(FAILED, thrift.encode_service_exception({b"reason": reason.value.encode()}))
 
     def origin(self) -> tuple[str, str]:
-        """See core.protocols.Responder."""
+        """See core.request.Responder."""
         return "thrift", self._connection.stream.peer_address
 
 
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -30,7 +30,8 @@
 from ochrehoist.units import NS_PER_S
 
 if TYPE_CHECKING:
-    from ochrehoist.core.protocols import AdmissionFilter, Executor, Logger
+    from ochrehoist.core.protocols import AdmissionFilter, Logger
+    from ochrehoist.core.request import Executor
 
 # Fixed, since the operating system would grow the buffer to megabytes for a slow reader.
 SOCKET_SEND_BUFFER_BYTES = 64 * 1024
--- a/ochrehoist/net/thrift_reader.py
+++ b/ochrehoist/net/thrift_reader.py
@@ -15,7 +15,7 @@
 from ochrehoist.units import NS_PER_MS
 
 if TYPE_CHECKING:
-    from ochrehoist.core.protocols import Executor, Responder
+    from ochrehoist.core.request import Executor, Responder
 
 MAX_BODY_BYTES = 2048
 MAX_INTEGER_DIGITS = 15
--- a/ochrehoist/store/folder_opener.py
+++ b/ochrehoist/store/folder_opener.py
@@ -4,11 +4,13 @@
 import time
 from collections.abc import Callable, Mapping
 
+from ochrehoist.errors import InvalidInputError
 from ochrehoist.loop_protocols import BlockingCalls, TimerLoop
 from ochrehoist.store.commit_scheduler import StoreFailureLog
-from ochrehoist.store.errors import StoreLockedError
+from ochrehoist.store.errors import StoreFailedError, StoreLockedError, store_failure
 from ochrehoist.store.folder_session import FolderSession, OpenedFolder
 
+FOLDER_SETTING = "state.folder"
 LOCK_RETRY_DELAY_S = 0.02  # short, since a replaced process releases the folder soon
 LOCK_WAIT_LOGGED_S = 3.0  # waiting for the lock is reported as a failure after this time
 # Delay after failures other than a locked folder; doubled for each further one.
@@ -16,6 +18,30 @@
 MAX_RETRY_DELAY_S = 10.0
 
 
+def prepare_folder(session: FolderSession, replacing: bool, failures: StoreFailureLog) -> None:
+    """Creates and locks the folder at the start of the process; `FolderOpener` retries what may be temporary.
+
+    A process that replaces another one locks the folder only when it opens it.
+
+    Raises:
+        InvalidInputError: Another process uses the folder, or it cannot be created.
+    """
+    folder = session.folder
+    try:
+        session.prepare()
+        if not replacing:
+            session.lock()
+    except StoreLockedError as error:
+        problem = f"in use by {error}; stop that process, or replace it: use the same name and TMPDIR"
+        raise InvalidInputError.in_setting(FOLDER_SETTING, f"{folder}: {problem}") from None
+    except FileNotFoundError as error:
+        raise InvalidInputError.in_setting(FOLDER_SETTING, f"{folder}: {error.strerror}") from None
+    except StoreFailedError as error:
+        failures.record_failure(error)
+    except OSError as error:
+        failures.record_failure(store_failure(error))
+
+
 class FolderOpener:
     """Repeated attempts to open a folder.
 
--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -17,16 +17,15 @@
 from ochrehoist.core.protocols import DetailCodec, IntentReplicator
 from ochrehoist.core.request import IdempotencyKey, InboundRequest, RequestReference
 from ochrehoist.core.results import Rejection, RunResult
-from ochrehoist.errors import InvalidInputError
 from ochrehoist.loop_protocols import StartBlockingCalls, TimerLoop
 from ochrehoist.periodic_calls import call_periodically
 from ochrehoist.store import failpoints
 from ochrehoist.store.commit_scheduler import CommitScheduler, RebuildContents, StoreFailureLog
 from ochrehoist.store.damage import StoreCondition, remaining_hold_ns
 from ochrehoist.store.database import LEARNED_STATE_NAME
-from ochrehoist.store.errors import StoreFailedError, StoreLockedError, StoreNotOpenError, store_failure
+from ochrehoist.store.errors import StoreNotOpenError
 from ochrehoist.store.failpoints import Failpoint
-from ochrehoist.store.folder_opener import FolderOpener
+from ochrehoist.store.folder_opener import FolderOpener, prepare_folder
 from ochrehoist.store.folder_session import FolderSession, OpenedFolder
 from ochrehoist.store.intent_confirmations import IntentConfirmations
 from ochrehoist.store.journal_metrics import JournalMetrics
@@ -44,7 +43,6 @@
 from ochrehoist.store.write_queue import WriteQueue
 from ochrehoist.units import NS_PER_S
 
-FOLDER_SETTING = "state.folder"
 FINAL_FLUSH_S = 1.0  # time limit for writing queued operations at a release or at the end of the process
 REJECTION_BACKOFF_NS = NS_PER_S
 
@@ -94,7 +92,7 @@
         self._failures = StoreFailureLog(log)
         self._queue = WriteQueue(config.group_commit_delay_ms / 1000, config.max_disk_wait_ms / 1000)
         self._session = FolderSession(config, name)
-        self._prepare_folder(replacing)
+        prepare_folder(self._session, replacing, self._failures)
         self._thread = start_blocking_calls("journal")
         self._scheduler = CommitScheduler(
             loop, self._thread, self._queue, self._session, self._metrics, self._failures, self, log
@@ -110,23 +108,6 @@
             self._opened,
         )
 
-    def _prepare_folder(self, replacing: bool) -> None:
-        """Creates and locks the folder; possibly temporary failures are recorded, and retried by `open`."""
-        folder = self._session.folder
-        try:
-            self._session.prepare()
-            if not replacing:
-                self._session.lock()
-        except StoreLockedError as error:
-            problem = f"in use by {error}; stop that process, or replace it: use the same name and TMPDIR"
-            raise InvalidInputError.in_setting(FOLDER_SETTING, f"{folder}: {problem}") from None
-        except FileNotFoundError as error:
-            raise InvalidInputError.in_setting(FOLDER_SETTING, f"{folder}: {error.strerror}") from None
-        except StoreFailedError as error:
-            self._failures.record_failure(error)
-        except OSError as error:
-            self._failures.record_failure(store_failure(error))
-
     def register_restored_listener(self, listener: Callable[[], None]) -> None:
         """Registers a function that is called once the core has adopted the stored state."""
         self._restored_listeners.append(listener)
--- a/tests/core/test_forwarder.py
+++ b/tests/core/test_forwarder.py
@@ -8,7 +8,7 @@
 from ochrehoist.core.handover_lines import StartDecided, decision_to_json
 from ochrehoist.core.messages import CallerDisconnected, RequestArrived, RunCompleted
 from ochrehoist.core.results import RunResult
-from ochrehoist.net.ajp import ReplyCodec
+from ochrehoist.net.ajp_reply_codec import ReplyCodec
 from tests.core.core_test_case import READ, CoreTestCase
 
 CODEC = ReplyCodec()
--- a/tests/core/test_handover_lines.py
+++ b/tests/core/test_handover_lines.py
@@ -5,7 +5,7 @@
 from ochrehoist.core.handover_lines import message_from_json, message_to_json
 from ochrehoist.core.messages import CallerDisconnected, RequestArrived
 from ochrehoist.core.request import NO_SERIAL, RequestReference
-from ochrehoist.net.ajp import ReplyCodec
+from ochrehoist.net.ajp_reply_codec import ReplyCodec
 from tests.core.core_test_case import FILING, READ, CoreTestCase
 
 CODEC = ReplyCodec()
--- a/tests/core/test_idempotency_table.py
+++ b/tests/core/test_idempotency_table.py
@@ -13,7 +13,7 @@
 from ochrehoist.core.request import RequestReference
 from ochrehoist.core.results import RunResult
 from ochrehoist.core.snapshot import CoreSnapshot
-from ochrehoist.net.ajp import ReplyCodec
+from ochrehoist.net.ajp_reply_codec import ReplyCodec
 
 READ_DELAY_NS = 5
 WINDOW_NS = 20
--- a/tests/core/test_reused_ids.py
+++ b/tests/core/test_reused_ids.py
@@ -17,7 +17,7 @@
 )
 from ochrehoist.core.request import new_reference
 from ochrehoist.core.results import FailureReason, RunResult
-from ochrehoist.net.ajp import ReplyCodec
+from ochrehoist.net.ajp_reply_codec import ReplyCodec
 from tests.core.core_test_case import FILING, READ, TENANT, CoreTestCase, S
 
 OK = RunResult(Outcome.OK, b"done")
--- a/tests/golden/test_handover.py
+++ b/tests/golden/test_handover.py
@@ -3,7 +3,7 @@
 import json
 
 from ochrehoist.core.handover_snapshot import SnapshotReader, snapshot_lines
-from ochrehoist.net.ajp import ReplyCodec
+from ochrehoist.net.ajp_reply_codec import ReplyCodec
 from tests.support.environment import FIXTURES
 
 GOLDEN = FIXTURES / "000e6de" / "handover" / "lines.jsonl"
