Tests: let the stub of a slow opening take whatever the opening takes

Cause: the stub named the two arguments that opening a folder had; it has three since, so the store of test_a_change_while_the_store_opens_is_in_force_and_recorded_filings_are_known never opened in the whole run. Change: the stub passes all its arguments on; what the test asks is the same.

--- a/tests/app/test_reload_appliance.py
+++ b/tests/app/test_reload_appliance.py
@@ -16,10 +16,10 @@
 import os, time
 from ochrehoist.store.folder_session import FolderSession
 opened = FolderSession.open
-def waits(self, longest_window_ns, clock_ns):
+def waits(self, *arguments):
     while os.path.exists({!r}):
         time.sleep(0.005)
-    return opened(self, longest_window_ns, clock_ns)
+    return opened(self, *arguments)
 FolderSession.open = waits
 """  # the disk does not answer as long as there is a file of this name
 
