--- a/tests/stand_ins/sockets.py
+++ b/tests/stand_ins/sockets.py
@@ -38,10 +38,10 @@
 
     def drop_connections(self) -> None:
         """Ends what is open now."""
-        for sock in self.connections:
+        open_now, self.connections = self.connections, []  # the other side may connect again meanwhile
+        for sock in open_now:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
-        self.connections.clear()
 
     def refuse(self) -> None:
         """Refuses connections from now on; an accept that waits would else keep the port open."""
