Compare a stored run with a known one by its window too, not by its request's id alone

Callers saw: nothing in service; found by reading for what knows a request by its id alone. Cause: when a process opens a store after a take-over, it queued only runs whose id differs from the stored one; a later run of the filing under the same id was taken for the stored one, and a kill after that forgot it. Change: is_same_run also asks that the stored window ends no earlier, but for the margin of rounding.

--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -32,6 +32,7 @@
 from ochrehoist.store.journal_records import (
     IntentRecorder,
     RunsByKey,
+    is_same_run,
     result_record,
     stored_result,
 )
@@ -311,9 +312,10 @@
         recorder = self._recorder()
         for key, run in known_runs.items():
             stored_run = opened.runs.get(key)
-            if stored_run is None or stored_run.request.id != run.request.id:
+            recorded = stored_run is not None and is_same_run(stored_run, run)
+            if not recorded:
                 self._scheduler.add(PutIntent(None, encode_key(key), recorder.record(key, run)))
-            if run.result is not None and not (stored_run and stored_run.result_stored):
+            if run.result is not None and not (recorded and stored_run and stored_run.result_stored):
                 self.end(key, run, run.result)
         self._log.info(
             "store_opened",
--- a/ochrehoist/store/journal_records.py
+++ b/ochrehoist/store/journal_records.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
-from ochrehoist.core.idempotency_table import IdempotentRun
+from ochrehoist.core.idempotency_table import WINDOW_MARGIN_NS, IdempotentRun
 from ochrehoist.core.persisted_names import OUTCOME_NAMES, OUTCOMES_BY_NAME
 from ochrehoist.core.protocols import DetailCodec
 from ochrehoist.core.request import IdempotencyKey, new_reference
@@ -70,6 +70,17 @@
     return runs
 
 
+def is_same_run(stored: IdempotentRun, known: IdempotentRun) -> bool:
+    """Returns whether a restored run is one that the core knows, and not an earlier run of its key.
+
+    The store has no more than the id of the request, which a later attempt of the filing may have too; its
+    window then ends later.
+    """
+    if stored.request.id != known.request.id:
+        return False
+    return stored.window_end_ns >= known.window_end_ns - WINDOW_MARGIN_NS
+
+
 def result_record(result: RunResult, codec: DetailCodec) -> ResultRecord:
     """Returns the record of a result."""
     detail = json.dumps(codec.to_json(result.detail)).encode()
--- a/tests/store/test_records.py
+++ b/tests/store/test_records.py
@@ -6,7 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ochrehoist.core.idempotency_table import WINDOW_MARGIN_NS, IdempotentRun
+from ochrehoist.core.request import new_reference
 from ochrehoist.store import records
+from ochrehoist.store.journal_records import is_same_run
 from ochrehoist.store.records import (
     CommitSummary,
     CorruptRecordError,
@@ -20,6 +23,7 @@
     encode_record,
 )
 from ochrehoist.store.timestamps import Timestamp
+from ochrehoist.units import NS_PER_S
 from tests.store.store_values import IDEMPOTENCY_KEY, intent
 
 
@@ -77,6 +81,24 @@
                 decode_record(b"k", data, record_type)
 
 
+class SameRunTest(unittest.TestCase):
+    """A restored run beside one that the core knows, of the same key."""
+
+    def test_a_later_run_under_the_id_of_the_stored_one_is_another_run(self):
+        # Guards against a second run: the store was not told of a run with the id of an earlier one.
+        window_ns = 20 * NS_PER_S
+        stored = IdempotentRun(new_reference("same"), window_ns, None, restored=True)
+        for request_id, window_end_ns, same in (
+            ("same", window_ns, True),
+            ("same", window_ns + WINDOW_MARGIN_NS, True),  # times are rounded in the store
+            ("same", 2 * window_ns, False),
+            ("other", window_ns, False),
+        ):
+            with self.subTest(request_id=request_id, window_end_ns=window_end_ns):
+                known = IdempotentRun(new_reference(request_id), window_end_ns, None)
+                self.assertIs(is_same_run(stored, known), same)
+
+
 class EncodedKeyTest(unittest.TestCase):
     """Encoding of idempotency keys."""
 
