Move the gauge queries of the kernel link to a module of their own

Change: net/gauge_queries.py, with the three constants that only it uses. Nothing but the place changes.

--- a/ochrehoist/net/kernel_link.py
+++ b/ochrehoist/net/kernel_link.py
@@ -17,6 +17,7 @@
 from ochrehoist.core.request import InboundRequest
 from ochrehoist.core.results import RunResult
 from ochrehoist.errors import OchrehoistError
+from ochrehoist.net.gauge_queries import GaugeQueries
 from ochrehoist.net.in_flight_runs import CORE_DELAY_S, InFlightRuns, KernelRun
 from ochrehoist.net.kernel_protocol import (
     CommandRejected,
@@ -45,56 +46,13 @@
 CONNECT_TIMEOUT_S = 0.25  # short, since the kernel is local and a hanging attempt delays a change of address
 # Counted from the loss of the link; a filing whose outcome is still unknown then fails and frees its slot.
 UNKNOWN_OUTCOME_TIMEOUT_S = 10.0
-# Counted from the oldest unanswered gauge query: the link is silent if nothing else was received either.
-SILENT_LINK_TIMEOUT_S = 0.7
-# Counted from the oldest unanswered gauge query, on a link that still delivers other notices.
-UNANSWERED_QUERY_TIMEOUT_S = 2.0
 BOOT_NOTICE_TIMEOUT_S = 1.0  # counted from the last line received, once the kernel has booted before
-MAX_TRACKED_QUERIES = 64
 
 
 class LinkSequenceError(OchrehoistError):
     """A notice was missed or is malformed; the kernel repeats it on a new link."""
 
 
-class GaugeQueries:
-    """The unanswered gauge queries of the current link, oldest first."""
-
-    def __init__(self) -> None:
-        self._count = 0
-        self._sent_at_s: dict[str, float] = {}  # by token
-
-    def open(self, now_s: float) -> str:
-        """Adds a query and returns its token; the oldest query is dropped beyond MAX_TRACKED_QUERIES."""
-        self._count += 1
-        token = f"g{self._count}"
-        self._sent_at_s[token] = now_s
-        if len(self._sent_at_s) > MAX_TRACKED_QUERIES:
-            del self._sent_at_s[next(iter(self._sent_at_s))]
-        return token
-
-    def answer(self, token: str) -> float | None:
-        """Removes a query and returns when it was sent; None for a token that is not of the current link."""
-        return self._sent_at_s.pop(token, None)
-
-    def clear(self) -> None:
-        """Drops all queries; called when the link is lost."""
-        self._sent_at_s.clear()
-
-    def is_overdue(self, now_s: float, received_at_s: float) -> bool:
-        """Returns whether an answer is overdue; `received_at_s` is when the link last received bytes.
-
-        While bytes arrive, a longer time-out applies: after a stall of this process the answer may already be
-        in the buffer, behind notices.
-        """
-        if not self._sent_at_s:
-            return False
-        waited_s = now_s - next(iter(self._sent_at_s.values()))
-        if waited_s <= SILENT_LINK_TIMEOUT_S:
-            return False
-        return now_s - received_at_s > SILENT_LINK_TIMEOUT_S or waited_s > UNANSWERED_QUERY_TIMEOUT_S
-
-
 class KernelLink:
     """The Executor of the Thrift front and the source of the gauges, connected to one kernel.
 
