Go on accepting after an eviction that raised, and show why an opened store is not used

Callers saw: nothing in service; found by reading for what else of the loop can end while the worker says up. Cause: an eviction that raised ended the callback before accepting was resumed or tried again; an exception after a store was opened left filings rejected for good, with nothing in the status but that the store is not open. Change: a fault of an eviction is logged (eviction_fault) and counts as no room; the other is under trouble in the status.

--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -210,11 +210,11 @@
                 self._close()
                 return
         if self._is_full():
-            self._evict()
+            self._try_to_evict()
 
     def _wait_for_resources(self, error: OSError) -> None:
         self._log.warning("descriptors_exhausted", error=str(error))
-        self._evict()
+        self._try_to_evict()
         self._loop.on_readable(self.sock.fileno(), None)
         self._loop.call_later(ACCEPT_RETRY_S, self._resume)
 
@@ -227,10 +227,18 @@
 
     def _retry_eviction(self) -> None:
         self._retry_pending = False
-        if not self.stopped and self._is_full() and not self._evict():
+        if not self.stopped and self._is_full() and not self._try_to_evict():
             self._retry_pending = True
             self._loop.call_later(ACCEPT_RETRY_S, self._retry_eviction)
 
+    def _try_to_evict(self) -> bool:
+        """Returns whether a connection was closed to make room; a fault must not end accepting for good."""
+        try:
+            return self._evict()
+        except Exception:
+            self._log.exception("eviction_fault")
+            return False
+
     def _close(self) -> None:
         self.stopped = True
         self._loop.unwatch(self.sock.fileno())
--- a/ochrehoist/store/folder_opener.py
+++ b/ochrehoist/store/folder_opener.py
@@ -102,10 +102,17 @@
     def _attempt_ended(self, folder: OpenedFolder | None, error: Exception | None) -> None:
         gc.enable()
         if folder is not None:
-            self._opened(folder)
+            self._use(folder)
         elif error is not None:
             self._attempt_failed(error)
 
+    def _use(self, folder: OpenedFolder) -> None:
+        try:
+            self._opened(folder)
+        except Exception as error:  # filings are rejected from now on, so the status has to say why
+            self._failures.record_failure(error)
+            raise
+
     def _attempt_failed(self, error: Exception) -> None:
         locked = isinstance(error, StoreLockedError)
         if not locked:
