Confine faults of the parts that a request passes, so that it keeps its answer and slot

Cause: a message was confined as a whole. Change: each such part is called through FaultConfinement; an untracked request is failed, such a filing is rejected, and a fault in a take-over or in creating the controller ends the core.

--- a/ochrehoist/core/action_handlers.py
+++ b/ochrehoist/core/action_handlers.py
@@ -63,7 +63,14 @@
         return
     retry_after_ns = action.retry_after_ns
     if core.limiter is not None:
-        retry_after_ns = core.limiter.request_rejected(request, retry_after_ns, core.now_ns)
+        retry_after_ns = core.faults.result(
+            "limiter",
+            retry_after_ns,
+            core.limiter.request_rejected,
+            request,
+            retry_after_ns,
+            core.now_ns,
+        )
     core.responses.reject(request, retry_after_ns, action.no_retry)
 
 
--- a/ochrehoist/core/actor.py
+++ b/ochrehoist/core/actor.py
@@ -28,8 +28,8 @@
 from ochrehoist.core.handover_lines import SendLine
 from ochrehoist.core.idempotency_table import IdempotencyTable
 from ochrehoist.core.message_handlers import MESSAGE_HANDLERS
-from ochrehoist.core.messages import RequestArrived, RunCompleted
-from ochrehoist.core.request import InboundRequest, RequestReference
+from ochrehoist.core.messages import ExecutorReady, RequestArrived, RunCompleted, StateTransferred
+from ochrehoist.core.request import InboundRequest, RequestReference, find_request
 from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.core.snapshot import CoreSnapshot
 from ochrehoist.units import NS_PER_MS, NS_PER_S
@@ -41,6 +41,9 @@
 EXPIRY_PERIOD_NS = NS_PER_S  # interval between searches for expired idempotent runs
 FROZEN_POLL_INTERVAL_S = 0.01  # poll interval while frozen or while another process decides
 
+# Without what these messages bring about there is no controller, so a fault in their handling ends the core.
+ESSENTIAL_MESSAGES = (ExecutorReady, StateTransferred)
+
 Step = Callable[[], None]
 
 
@@ -104,12 +107,21 @@
             except Exception:
                 # A bug in a handler must not end the process: open requests fail once they are overdue.
                 self.faults.record(Fault.MESSAGE, message=type(message).__name__)
+                if isinstance(message, ESSENTIAL_MESSAGES):
+                    raise
+                if isinstance(message, RequestArrived):
+                    self._fail_untracked(message.request)
         self._update_now()
         if self.forwarder is not None:
             self.forwarder.tick()
         elif not self.frozen:
             self._run_due_work()
 
+    def _fail_untracked(self, request: InboundRequest) -> None:
+        """Fails a request that a fault kept from being tracked, so that it would never be overdue."""
+        if not request.answered and find_request(self.open_requests, request.reference) is None:
+            self.faults.call("failure_after_fault", self.fail, request, FailureReason.INTERNAL)
+
     def _update_now(self) -> None:
         self.now_ns = max(self.now_ns, self.clock())
 
@@ -197,7 +209,8 @@
     def received_event(self, request: InboundRequest) -> RequestReceived:
         """Returns the event that announces the request to the controller."""
         if self.limiter is not None:
-            request.cost_multiple = self.limiter.estimate_cost(request, self.now_ns)
+            estimate_cost = self.limiter.estimate_cost
+            request.cost_multiple = self.faults.result("limiter", 1.0, estimate_cost, request, self.now_ns)
         key = request.idempotency_key
         original: RequestReference | None = None
         if key is not None:
@@ -224,9 +237,9 @@
         """Starts the request on its executor."""
         request.started_ns = self.now_ns
         if self.limiter is not None:
-            self.limiter.run_started(request, self.now_ns)
+            self.faults.call("limiter", self.limiter.run_started, request, self.now_ns)
         if self.fleet_admission is not None:
-            self.fleet_admission.run_started(request, self.now_ns)
+            self.faults.call("fleet_admission", self.fleet_admission.run_started, request, self.now_ns)
         if not self.responses.execute(request):
             self.post(RunCompleted(request.reference, RunResult(Outcome.FAILED), 0))
 
--- a/ochrehoist/core/fault_confinement.py
+++ b/ochrehoist/core/fault_confinement.py
@@ -5,12 +5,13 @@
 from collections import Counter
 from collections.abc import Callable
 from enum import StrEnum
-from typing import TYPE_CHECKING, ParamSpec
+from typing import TYPE_CHECKING, ParamSpec, TypeVar
 
 if TYPE_CHECKING:
     from ochrehoist.core.protocols import Logger
 
 P = ParamSpec("P")
+T = TypeVar("T")
 
 
 class Fault(StrEnum):
@@ -38,9 +39,22 @@
         self.counts[fault] += 1
         self._log.exception(str(fault), **fields)
 
-    def call(self, work: str, function: Callable[P, object], *args: P.args, **kwargs: P.kwargs) -> None:
-        """Calls a function that does a part of the work, named `work`; an exception ends only this part."""
+    def call(self, work: str, function: Callable[P, object], *args: P.args, **kwargs: P.kwargs) -> bool:
+        """Calls a function that does a part of the work, named `work`; an exception ends only this part.
+
+        Returns whether there was none.
+        """
         try:
             function(*args, **kwargs)
         except Exception:
             self.record(Fault.DUE_WORK, work=work)
+            return False
+        return True
+
+    def result(self, work: str, default: T, function: Callable[P, T], *args: P.args, **kwargs: P.kwargs) -> T:
+        """Like `call`, but returns the function's result, or `default` after an exception."""
+        try:
+            return function(*args, **kwargs)
+        except Exception:
+            self.record(Fault.DUE_WORK, work=work)
+            return default
--- a/ochrehoist/core/idempotent_runs.py
+++ b/ochrehoist/core/idempotent_runs.py
@@ -102,10 +102,13 @@
 
         Without a journal the run starts at once.
         """
+        core = self._core
         if self._journal is None or request.idempotency_key is None:
-            self._core.execute(request)
-        else:
-            self._journal.begin(request, self._core.idempotency.runs[request.idempotency_key])
+            core.execute(request)
+            return
+        run = core.idempotency.runs[request.idempotency_key]
+        if not core.faults.call("journal", self._journal.begin, request, run):
+            core.post(IntentRecorded(request.reference, False, NS_PER_S))
 
     def intent_recorded(self, message: IntentRecorded) -> None:
         """Starts a run whose intent is recorded, or cancels it if it could not be recorded."""
@@ -129,7 +132,7 @@
         core = self._core
         waiters = core.idempotency.remove_unstarted_run(key, request.reference)
         if self._journal is not None:
-            self._journal.never_ran(key)
+            core.faults.call("journal", self._journal.never_ran, key)
         for reference in (request.reference, *waiters):
             waiting = find_request(core.open_requests, reference)
             if waiting is not None:
@@ -146,12 +149,12 @@
         if result.outcome in NEVER_RAN:
             waiters = core.idempotency.remove_unstarted_run(key, request.reference)
             if self._journal is not None:
-                self._journal.never_ran(key)
+                core.faults.call("journal", self._journal.never_ran, key)
         else:
             size_bytes = len(result.body) + result.detail_bytes + RESULT_OVERHEAD_BYTES
             waiters = core.idempotency.run_ended(key, request.reference, result, size_bytes)
             if self._journal is not None:
-                self._journal.end(key, run, result)
+                core.faults.call("journal", self._journal.end, key, run, result)
         for waiter in waiters:
             core.post(DuplicateResolved(waiter, result))
 
@@ -166,7 +169,8 @@
         elif run is not None and run.result is not None:
             core.post(DuplicateResolved(request.reference, run.result))
         elif run is not None and run.result_stored and self._journal is not None and key is not None:
-            self._journal.fetch(key, request.reference)
+            if not core.faults.call("journal", self._journal.fetch, key, request.reference):
+                core.post(DuplicateResolved(request.reference, RunResult(Outcome.FAILED)))
         else:  # the result was evicted or never known, so the duplicate can only fail
             core.post(DuplicateResolved(request.reference, RunResult(Outcome.FAILED)))
 
--- a/ochrehoist/core/message_handlers.py
+++ b/ochrehoist/core/message_handlers.py
@@ -55,7 +55,7 @@
     # The age is not negative: an arrival in the future would extend the deadline and the window.
     request.arrived_ns = core.now_ns - max(0, core.wall_clock() - request.arrived_ns)
     for observer in core.responses.observers:
-        observer.request_arrived(request)
+        core.faults.call("observer", observer.request_arrived, request)
     if arrival_checks.try_answer_on_arrival(core, request):
         return
     core.track(request)
@@ -67,7 +67,7 @@
     request = find_request(core.open_requests, message.request)
     if request is None:
         return
-    core.responses.caller_disconnected(request)
+    core.faults.call("observer", core.responses.caller_disconnected, request)
     core.dispatch(RequestAbandoned(request.reference, message.gave_up))
 
 
@@ -82,15 +82,28 @@
     del core.open_requests[request.id]
     duration_ns = message.duration_ns
     if request.started_ns:  # otherwise it was never counted as running
-        if core.limiter is not None:
-            duration_ns = core.limiter.run_ended(request, core.now_ns, message.duration_ns, outcome)
-        if core.fleet_admission is not None:
-            core.fleet_admission.run_ended(request, core.now_ns, message.duration_ns, outcome)
+        duration_ns = _notify_of_run_end(core, request, message)
     if request.idempotency_key is not None:
-        core.idempotent_runs.run_ended(request, request.idempotency_key, message.result)
+        core.faults.call(
+            "run_end", core.idempotent_runs.run_ended, request, request.idempotency_key, message.result
+        )
     _complete(core, request, message.result, duration_ns)
 
 
+def _notify_of_run_end(core: CoreContext, request: InboundRequest, message: RunCompleted) -> int:
+    """Notifies the limiter and the fleet; returns the duration to pass to the controller."""
+    now_ns, duration_ns, outcome = core.now_ns, message.duration_ns, message.result.outcome
+    if core.fleet_admission is not None:
+        core.faults.call(
+            "fleet_admission", core.fleet_admission.run_ended, request, now_ns, duration_ns, outcome
+        )
+    if core.limiter is None:
+        return duration_ns
+    return core.faults.result(
+        "limiter", duration_ns, core.limiter.run_ended, request, now_ns, duration_ns, outcome
+    )
+
+
 def duplicate_resolved(core: CoreContext, message: DuplicateResolved) -> None:
     """Answers a duplicate with the result of the run that it duplicates."""
     request = find_request(core.open_requests, message.request)
--- a/tests/core/test_fault_confinement.py
+++ b/tests/core/test_fault_confinement.py
@@ -5,7 +5,13 @@
 
 from ochrehoist.admission.events import Outcome
 from ochrehoist.core.fault_confinement import Fault
-from ochrehoist.core.messages import GaugesMeasured, IntentRecorded, RequestArrived, RunCompleted
+from ochrehoist.core.messages import (
+    GaugesMeasured,
+    IntentRecorded,
+    RequestArrived,
+    RunCompleted,
+    StateTransferred,
+)
 from ochrehoist.core.results import FailureReason, RunResult
 from tests.core.core_test_case import FILING, READ, CoreTestCase, S
 
@@ -102,6 +108,77 @@
         self.assertEqual(self.started, [request.id])
 
 
+class RequestTest(CoreTestCase):
+    """A part that a request passes raises: it still gets its answer, and its slot is free after it."""
+
+    def setUp(self):
+        super().setUp()
+        self.actor.log.exception = mock.Mock()
+
+    def assert_free_after(self, request, answer, work="journal"):
+        self.assertEqual(self.answers(request), [answer])
+        self.assertEqual((self.running(), self.actor.open_requests, self.actor.unanswered), (0, {}, 0))
+        self.actor.log.exception.assert_called_once_with("due_work_fault", work=work)
+
+    def test_a_request_that_a_fault_keeps_from_being_tracked_is_failed(self):
+        # Guards against a lost request: nobody answered what a fault on arrival kept out of the table.
+        fleet = mock.Mock()
+        fleet.check_arrival.side_effect = ValueError("injected")
+        self.actor.register_fleet_admission(fleet)
+        request = self.arrive(request_class=READ)
+        self.assertEqual(self.answers(request), [("failed", FailureReason.INTERNAL)])
+        self.assertEqual(self.actor.faults.counts, {Fault.MESSAGE: 1})
+
+    def test_an_observer_that_raises_on_arrival_leaves_the_request_to_be_served(self):
+        observer = mock.Mock()
+        observer.request_arrived.side_effect = ValueError("injected")
+        self.actor.register_observer(observer)
+        request = self.arrive(request_class=READ)
+        self.post_and_step(RunCompleted(request.reference, OK, S))
+        self.assert_free_after(request, ("served", b"done"), "observer")
+
+    def test_a_limiter_or_fleet_that_raises_leaves_the_run_to_be_answered(self):
+        # Guards against a lost answer and slot: the end of the run was forgotten before its answer was sent.
+        for part, work, calls in (
+            ("register_limiter", "limiter", ("run_started", "run_ended")),
+            ("register_fleet_admission", "fleet_admission", ("run_started", "run_ended")),
+        ):
+            for call in calls:
+                with self.subTest(part=part, call=call):
+                    self.setUp()
+                    broken = mock.Mock()
+                    broken.check_arrival.return_value = broken.evaluate.return_value = None
+                    broken.estimate_cost.return_value = 1.0
+                    broken.run_ended.return_value = S
+                    getattr(broken, call).side_effect = ValueError("injected")
+                    getattr(self.actor, part)(broken)
+                    request = self.arrive(request_class=READ)
+                    self.post_and_step(RunCompleted(request.reference, OK, S))
+                    self.assert_free_after(request, ("served", b"done"), work)
+
+    def test_a_filing_whose_intent_cannot_be_queued_is_rejected_and_frees_its_slot(self):
+        # Guards against a slot that is lost for good: the filing counted as running and never began.
+        self.journal.begin = mock.Mock(side_effect=ValueError("injected"))
+        filing = self.arrive()
+        self.assert_free_after(filing, ("refused", S))
+        self.assertEqual(self.started, [])
+
+    def test_a_result_that_cannot_be_recorded_is_still_sent_also_to_duplicates(self):
+        self.journal.end = mock.Mock(side_effect=ValueError("injected"))
+        filing = self.arrive()
+        duplicate = self.arrive(retry=True)
+        self.post_and_step(IntentRecorded(filing.reference, True), RunCompleted(filing.reference, OK, S))
+        self.assert_free_after(filing, ("served", b"done"))
+        self.assertEqual(self.answers(duplicate), [("served", b"done")])
+
+    def test_a_state_that_cannot_be_taken_over_ends_the_core(self):
+        # Guards against a process that serves for good without a controller.
+        self.actor.controller = None
+        fault = mock.patch.object(self.actor, "start_controller", side_effect=ValueError("injected"))
+        with fault, self.assertRaises(ValueError):
+            self.post_and_step(StateTransferred(None))
+
+
 class HealthTest(CoreTestCase):
     """A listener raises."""
 
