End a core whose controller fails at each timer, not set its timers for ever

Cause: a timer on which the controller raised was set again without an end; such a controller decides nothing any more that depends on time, while the worker says up. Change: 20 timers in a row (2 s) end the core: controller_stuck, then reported down, exit code 1.

--- a/ochrehoist/core/context.py
+++ b/ochrehoist/core/context.py
@@ -67,6 +67,7 @@
         instance_started_ns: When the executor became ready.
         request_predecessor_state: Requests the state of the predecessor process; None without a predecessor.
         frozen: Whether message handling is stopped while the successor process takes over the state.
+        timer_faults_in_row: Number of the latest timers in a row on which the controller failed.
         ended: Whether the core has ended, so that this process decides on no request any more.
         faults: Confines and counts exceptions in the work of the core.
         forwarder: Forwards messages to the process that decides; None while this process decides.
@@ -96,6 +97,7 @@
         self.metrics = Metrics(c.name for c in settings.classes)
         self.faults = FaultConfinement(log)
         self.ended = False
+        self.timer_faults_in_row = 0
         self.responses = ResponseTracker(self.metrics, log)
         self.open_requests = self.responses.open_requests
         self.deadlines = Deadlines()
--- a/ochrehoist/core/message_handlers.py
+++ b/ochrehoist/core/message_handlers.py
@@ -28,6 +28,8 @@
 from ochrehoist.core.request import InboundRequest, RequestReference, find_request
 from ochrehoist.core.results import FailureReason, RunResult
 
+MAX_TIMER_FAULTS = 20  # 2 s at REARM_DELAY_NS
+
 
 def executor_ready(core: CoreContext, message: ExecutorReady) -> None:
     """Creates the controller, or first requests the state of the predecessor process if there is one."""
@@ -124,10 +126,20 @@
 
 
 def fire_due_timers(core: CoreContext) -> None:
-    """Fires all due timers of the controller; a timer on which the controller fails is set again."""
+    """Fires all due timers of the controller; a timer on which the controller fails is set again.
+
+    A controller that fails on MAX_TIMER_FAULTS timers in a row has stopped to do what depends on time, so the
+    core ends.
+    """
     for timer_id in core.deadlines.pop_due_timers():
-        if not core.dispatch(TimerFired(timer_id, dict(core.gauges))):
-            core.deadlines.set_timer(core.now_ns + REARM_DELAY_NS, timer_id)
+        if core.dispatch(TimerFired(timer_id, dict(core.gauges))):
+            core.timer_faults_in_row = 0
+            continue
+        core.deadlines.set_timer(core.now_ns + REARM_DELAY_NS, timer_id)
+        core.timer_faults_in_row += 1
+        if core.timer_faults_in_row >= MAX_TIMER_FAULTS and not core.ended:
+            core.log.error("controller_stuck", timer_faults=core.timer_faults_in_row)
+            core.end()
 
 
 def shutdown_requested(core: CoreContext, message: ShutdownRequested) -> None:
--- a/tests/app/test_essential_tasks.py
+++ b/tests/app/test_essential_tasks.py
@@ -15,6 +15,7 @@
 # Raises once the file `fail` is there; {place} is what raises, a function without arguments.
 FAULT = """
 import os
+from ochrehoist.admission import controller, events
 from ochrehoist.app import kernel_link_supervisor
 from ochrehoist.core import deadlines
 from ochrehoist.net import handover_client, kernel_link, membership_heartbeat, thrift_front
@@ -27,6 +28,7 @@
 {place} = broken
 """
 CORE_LOOP = FAULT.format(place="deadlines.Deadlines.next_due_ns")
+TICKS = FAULT.format(place="controller.AdmissionController._HANDLERS[events.TimerFired]")
 KERNEL_LINK = FAULT.format(place="kernel_link.KernelLink._link_lost")
 HEARTBEAT = FAULT.format(place="membership_heartbeat.MembershipHeartbeat._encode")
 LINK_CHECK = FAULT.format(place="kernel_link_supervisor.KernelLinkSupervisor._check")
@@ -64,6 +66,12 @@
         self.assertLess(time.monotonic() - began, EXIT_WITHIN_S)
         self.assertEqual([entry["task"] for entry in program.logged("task_fault")], ["CoreActor.run"])
 
+    def test_a_controller_that_fails_at_each_timer_ends_its_process(self):
+        program = self.start(fault=TICKS)
+        program.write_file("fail", "")
+        self.assert_ends_with_an_error(program)
+        self.assertEqual(len(program.logged("controller_stuck")), 1)
+
     def test_a_kernel_link_that_ends_ends_its_process(self):
         program = self.start(fault=KERNEL_LINK)
         program.write_file("fail", "")
--- a/tests/core/test_fault_confinement.py
+++ b/tests/core/test_fault_confinement.py
@@ -5,6 +5,7 @@
 
 from ochrehoist.admission.events import Outcome
 from ochrehoist.core.fault_confinement import Fault
+from ochrehoist.core.message_handlers import MAX_TIMER_FAULTS
 from ochrehoist.core.messages import (
     GaugesMeasured,
     IntentRecorded,
@@ -179,6 +180,30 @@
             self.post_and_step(StateTransferred(None))
 
 
+class StuckControllerTest(CoreTestCase):
+    """A controller that raises at each timer."""
+
+    def tick(self, count):
+        for _ in range(count):
+            self.now_ns += 2 * TICK_NS
+            self.post_and_step()  # the timer is due, and waits for gauges
+            self.post_and_step(GaugesMeasured())
+
+    def test_a_controller_that_fails_at_each_timer_ends_the_core_and_not_one_that_recovers(self):
+        # Guards against a worker that says "up" while nothing that depends on time is decided any more.
+        self.actor.log.exception = mock.Mock()
+        handle = self.actor.controller.handle
+        with mock.patch.object(self.actor.controller, "handle", side_effect=ValueError("injected")):
+            self.tick(MAX_TIMER_FAULTS - 1)
+        self.assertEqual((self.actor.state, self.actor.timer_faults_in_row), ("up", MAX_TIMER_FAULTS - 1))
+        self.assertEqual(self.actor.controller.handle, handle)
+        self.tick(1)
+        self.assertEqual(self.actor.timer_faults_in_row, 0)
+        with mock.patch.object(self.actor.controller, "handle", side_effect=ValueError("injected")):
+            self.tick(MAX_TIMER_FAULTS)
+        self.assertEqual((self.actor.state, self.actor.ended), ("down", True))
+
+
 class HealthTest(CoreTestCase):
     """A listener raises."""
 
