--- a/review/support_2/appliance.py
+++ b/review/support_2/appliance.py
@@ -71,7 +71,8 @@
 
 def call(case: Case, port: int, who: str, *args: Any, **how: Any) -> AjpResponse | None:
     """One request on a connection of its own; None if the connection ended without a whole answer."""
-    case.note(f"client {who}: sends {args} {how}")
+    shown = {k: f"{len(v)} bytes" if isinstance(v, bytes) and len(v) > 99 else v for k, v in how.items()}
+    case.note(f"client {who}: sends {args} {shown}")
     client = AjpClient(("127.0.0.1", port))
     try:
         answer = client.call(*args, **how)
