Review: the body of a health check over AJP is run as a request of its own

Cause: the AJP front answers a health check without reading the first chunk of its body, and reads that chunk as the next packet: a forwarded request. Its answer goes to the next client on the connection. Change: case 6 with its script.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,62 +1,65 @@
-"""A filing is repeated over AJP within its window while the worker stands still for a second."""
+"""A client sends a health check with a body: the body is read as a request, and its answer goes to the next client."""
 
-import signal
-import threading
+import struct
 import time
 
-from review.support_2.appliance import EXAMPLE, Server, call, settings, text
+from review.support_2.appliance import Server, settings, text
 from review.support_2.case import CannotRunError, Case, free_ports, main
+from tests.stand_ins.ajp_client import AjpClient
+from tests.stand_ins.ajp_packets import encode_text
 
-KEY = "6d1f0c9e-2026-filing"
-BODY = b"<seat>Antwerpen</seat>"
-PAUSE_FROM_S, REPEAT_AT_S, PAUSE_TO_S = 12.9, 13.2, 13.9  # after the first try was written
+KEY = "not-sent-by-any-web-server"
+BODY_BYTES = 0x0204  # AJP writes this length before the body: the bytes 2 and 4 begin a forwarded POST
+
+
+def client_body() -> bytes:
+    """What the bad client sends as the body of its GET: the rest of a Forward Request packet, filled up."""
+    body = b"".join(encode_text(t) for t in ("HTTP/1.1", "/filings", "10.0.0.1", "inside", "site"))
+    body += struct.pack(">HB", 80, 0)
+    headers = {"X-Tenant": "boekhoud-net", "Idempotency-Key": KEY}
+    body += struct.pack(">H", len(headers))
+    body += b"".join(encode_text(name) + encode_text(value) for name, value in headers.items())
+    body += b"\xff"  # the end of the attributes
+    return body.ljust(BODY_BYTES, b".")
 
 
 def play(case: Case) -> bool:
-    """Returns whether the filing ran at most once."""
+    """Returns whether the server ran only what was sent, and the next client got its own answer."""
     ajp, admin = free_ports(2)
-    server = Server(case, b"Idempotency-Key")
-    worker = case.start(
-        "register-1", case.write("ajp.toml", text(settings("register-1", ajp, admin, server.address)))
-    )
+    server = Server(case, b"X-Name")
+    case.start("register-1", case.write("ajp.toml", text(settings("register-1", ajp, admin, server.address))))
     case.wait_ready(admin)
-    (filing,) = (c for c in EXAMPLE["settings"]["Classes"] if c["Name"] == "filing-submit")
-    window_s = filing["Window"] / 1e9
-    assert REPEAT_AT_S < window_s < PAUSE_TO_S
-    headers = {"X-Tenant": "boekhoud-net", "Idempotency-Key": KEY}
-    written_at = time.monotonic()
-    first = call(case, ajp, "first try", "POST", "/filings", headers=headers, body=BODY)
-    if first is None or first.status != 200:
-        raise CannotRunError("the first try was not served")
-
-    def wait_until(offset_s: float) -> None:
-        time.sleep(max(0.0, written_at + offset_s - time.monotonic()))
-
-    def repeat() -> None:
-        call(case, ajp, "repeat", "POST", "/filings", headers=headers | {"X-Retry": "1"}, body=BODY)
-
-    thread = threading.Thread(target=repeat)
-    wait_until(PAUSE_FROM_S)
-    if case.trouble:
-        worker.signal(signal.SIGSTOP)
-    wait_until(REPEAT_AT_S)
-    thread.start()
-    time.sleep(0.1)
-    passed_s = time.monotonic() - written_at
-    case.note(
-        f"the repeat is written, at most {passed_s:.3f} s after the first try; the window is {window_s} s"
-    )
-    if passed_s > window_s - 0.1:
-        raise CannotRunError("the repeat was written too late")
-    wait_until(PAUSE_TO_S)
-    if case.trouble:
-        worker.signal(signal.SIGCONT)
-    thread.join(10)
-    count = sum(run["name"] == KEY for run in server.runs)
-    case.note(f"the filing ran {count} times")
-    if thread.is_alive():
-        raise CannotRunError("the repeat did not end")
-    return count <= 1
+    web_server = AjpClient(("127.0.0.1", ajp))  # keeps its connection for the requests of all its clients
+    sent = 0
+
+    def get(who: str, uri: str, body: bytes | None = None):
+        headers = {"X-Tenant": "fidu-plus", "X-Name": who}
+        case.note(f"web server: sends GET {uri} for {who}, with a body of {len(body or b'')} bytes")
+        answer = web_server.call("GET", uri, headers=headers, body=body)
+        case.note(f"web server: got {answer.status} {answer.body!r} for {who}")
+        return answer
+
+    before = get("good client", "/companies/1")
+    sent += 1
+    if before.status != 200:
+        raise CannotRunError("no answer before the disruption")
+    if get("the other client", "/healthz", client_body() if case.trouble else None).status != 200:
+        raise CannotRunError("the health check was not answered")
+    time.sleep(0.5)
+    case.note(f"server: {[run['name'] for run in server.runs]}")
+    try:
+        after = get("good client again", "/companies/2")
+    except (OSError, EOFError) as error:
+        case.note(f"web server: the connection has ended ({error!r}), and the request goes over a new one")
+        web_server = AjpClient(("127.0.0.1", ajp))
+        after = get("good client again", "/companies/2")
+    sent += 1
+    own = [f"run {run['number']}".encode() for run in server.runs if run["name"] == "good client again"]
+    time.sleep(0.5)
+    case.note(f"requests sent by the web server to be run: {sent}; run by the server: {len(server.runs)}")
+    foreign = after.body not in own
+    case.note(f"the good client got {'the answer of another request' if foreign else 'its own answer'}")
+    return len(server.runs) == sent and not foreign
 
 
 main(__file__, play)
