--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,7 +14,7 @@
 
 def client_body() -> bytes:
     """What the bad client sends as the body of its GET: the rest of a Forward Request packet, filled up."""
-    body = b"".join(encode_text(t) for t in ("HTTP/1.1", "/filings", "10.0.0.1", "inside", "site"))
+    body = b"".join(encode_text(t) for t in ("HTTP/1.1", "/filings", "127.0.0.1", "inside", "site"))
     body += struct.pack(">HB", 80, 0)
     headers = {"X-Tenant": "boekhoud-net", "Idempotency-Key": KEY}
     body += struct.pack(">H", len(headers))
