AJP: reading bodies and answering have modules of their own

ajp_connection.py held the connection, the responder and the reading of bodies.

No behaviour changes. tests/net and tests/repository: green.

--- a/ochrehoist/net/ajp_connection.py
+++ b/ochrehoist/net/ajp_connection.py
@@ -1,34 +1,22 @@
 """The connection of a web server, which sends one request at a time, as AJP/1.3 requires."""
 
 import time
-from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Protocol
 
-from ochrehoist.admission.events import Outcome
-from ochrehoist.admission.settings import RequestClass
 from ochrehoist.config.tables import AjpConfig
 from ochrehoist.core.messages import CallerDisconnected, RequestArrived
 from ochrehoist.core.metrics import RequestCounter
 from ochrehoist.core.protocols import Logger
 from ochrehoist.core.request import InboundRequest
-from ochrehoist.core.results import FailureReason, RunResult
 from ochrehoist.net import ajp
+from ochrehoist.net.ajp_body import BodyReader
 from ochrehoist.net.ajp_exchange import read_packet
 from ochrehoist.net.ajp_reader import AjpReader, CheckedRequest, RequestRejectedError
+from ochrehoist.net.ajp_responder import AjpResponder, retry_after_header, retry_after_seconds
 from ochrehoist.net.front import MESSAGE_ARRIVAL_TIMEOUT_S, FrontConnection, FrontContext
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import ConnectionClosedError, Stream, StreamTimeoutError
-from ochrehoist.units import NS_PER_S
-
-FAILURE_STATUS = {
-    FailureReason.DEADLINE_PASSED: HTTPStatus.GATEWAY_TIMEOUT,
-    FailureReason.EXECUTOR_FAILED: HTTPStatus.BAD_GATEWAY,
-    FailureReason.OUTCOME_UNKNOWN: HTTPStatus.BAD_GATEWAY,
-    FailureReason.KEY_CONFLICT: HTTPStatus.UNPROCESSABLE_ENTITY,
-}
-
-Headers = Sequence[tuple[int | bytes, bytes]]  # pairs of a header's code or name, and its value
 
 
 class AjpFrontContext(FrontContext, Protocol):
@@ -49,103 +37,27 @@
         ...
 
 
-class AjpResponder:
-    """The Responder of one request; once it is done, the connection reads the next request.
-
-    Attributes:
-        done: Whether the request was answered or cancelled.
-    """
-
-    __slots__ = ("_connection", "_head_only", "done")
-
-    def __init__(self, connection: "AjpConnection", head_only: bool) -> None:
-        self.done = False
-        self._connection = connection
-        self._head_only = head_only
-
-    def cancel(self) -> None:
-        """Suppresses the response, because the client has disconnected."""
-        self.done = True
-
-    def send_text(self, status: HTTPStatus, reason: str, headers: Headers = ()) -> None:
-        """Sends a plain-text response that the front generates itself."""
-        text = f"{status.value} {status.phrase}: {reason}\n".encode()
-        self._send_response(status, b"text/plain; charset=utf-8", text, headers)
-
-    def served(self, result: RunResult) -> bool:
-        """See core.request.Responder."""
-        self._connection.served = True
-        if isinstance(result.detail, ajp.Reply):
-            self._send(result.detail.headers, result.body)
-        else:  # the result of a filing that ran for another front, which is sent unchanged
-            self._send_response(HTTPStatus.OK, b"application/octet-stream", result.body)
-        return True
-
-    def rejected(self, retry_after_ns: int, no_retry: bool) -> None:  # noqa: ARG002 (HTTP cannot express it)
-        """See core.request.Responder."""
-        self.send_text(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            "turned away, never run",
-            retry_after_header(retry_after_seconds(retry_after_ns)),
-        )
-
-    def failed(self, reason: FailureReason, result: RunResult | None = None) -> None:
-        """See core.request.Responder; sends the server's own error page if there is one."""
-        if result is not None and isinstance(result.detail, ajp.Reply):
-            self._send(result.detail.headers, result.body)
-            return
-        status = FAILURE_STATUS.get(reason, HTTPStatus.INTERNAL_SERVER_ERROR)
-        if result is not None and result.outcome is Outcome.TIMED_OUT:
-            status = HTTPStatus.GATEWAY_TIMEOUT
-        self.send_text(status, reason.value)
-
-    def origin(self) -> tuple[str, str]:
-        """See core.request.Responder."""
-        return "ajp", self._connection.stream.peer_address
-
-    def _send_response(
-        self, status: HTTPStatus, content_type: bytes, body: bytes, headers: Headers = ()
-    ) -> None:
-        all_headers: Headers = (
-            (ajp.CONTENT_TYPE, content_type),
-            (ajp.CONTENT_LENGTH, b"%d" % len(body)),
-            *headers,
-        )
-        self._send(ajp.encode_headers(status.value, status.phrase, all_headers), body)
-
-    def _send(self, head: bytes, body: bytes) -> None:
-        if not self.done:
-            self.done = True
-            self._connection.send_response(head, b"" if self._head_only else body)
-
-
-def retry_after_seconds(retry_after_ns: int) -> int:
-    """Converts a delay to whole seconds, rounded up, at least 1."""
-    return max(1, -(-retry_after_ns // NS_PER_S))
-
-
-def retry_after_header(seconds: int) -> Headers:
-    """Returns a Retry-After header."""
-    return ((b"Retry-After", b"%d" % seconds),)
-
-
 class AjpConnection(FrontConnection):
     """The connection of a web server to the AJP front.
 
     Attributes:
         busy: Whether a request is being read or answered.
         has_sent_packet: Whether a complete packet was read.
-        body_bytes: Memory reserved for the body of the current request, in bytes.
     """
 
     def __init__(self, front: AjpFrontContext, loop: Loop, stream: Stream, number: int) -> None:
         super().__init__(loop, stream, number)
         self.busy = False
         self.has_sent_packet = False
-        self.body_bytes = 0
         self._front = front
+        self._bodies = BodyReader(front, stream)
         self._packet_size = front.config.packet_size
 
+    @property
+    def body_bytes(self) -> int:
+        """Memory reserved for the body of the current request, in bytes."""
+        return self._bodies.reserved_bytes
+
     def run(self) -> None:
         """Handles packets until the connection ends; runs as the connection's task."""
         try:
@@ -158,7 +70,7 @@
         except ajp.MalformedPacketError as error:
             self._front.log.warning("ajp_packet_malformed", reason=str(error))
         finally:
-            self._set_body_bytes(0)
+            self._bodies.release()
             self.stream.close_when_sent()
 
     def send_response(self, head: bytes, body: bytes) -> None:
@@ -202,7 +114,7 @@
             self.busy = True
             self._handle_request(ajp.parse_forward(packet), arrived_ns)
             self.busy = False
-            self._set_body_bytes(0)
+            self._bodies.release()
             self.last_used_at_s = time.monotonic()
         elif kind == ajp.CPING:
             if not self._front.core.healthy:
@@ -224,7 +136,7 @@
             self._check_admission(checked)
             body = b""
             if forward.chunked or forward.length:
-                body = self._read_body(forward, checked.request_class)
+                body = self._bodies.read(forward, checked.request_class)
         except RequestRejectedError as error:
             class_name = checked.request_class.name if checked else error.class_name
             self._reject(forward, error, class_name, responder)
@@ -282,56 +194,3 @@
                 responder.cancel()
                 self._front.core.post(CallerDisconnected(request.reference))
                 raise ConnectionClosedError
-
-    # ---- bodies
-    def _read_body(self, forward: ajp.ForwardRequest, request_class: RequestClass) -> bytes:
-        """Reads the complete body.
-
-        Raises:
-            ConnectionClosedError: The body was cut off; the request does not run.
-            StreamTimeoutError: The body did not arrive by the deadline.
-            RequestRejectedError: The body is too large, or there is no memory for it.
-        """
-        self._reserve_body(forward.length)
-        # The caller does not wait for a response beyond the request's deadline.
-        deadline_s = time.monotonic() + request_class.deadline_ns / NS_PER_S
-        config = self._front.config
-        max_chunk_bytes = config.packet_size - ajp.HEADER_BYTES - ajp.CHUNK_LENGTH_BYTES
-        body = bytearray()
-        request_chunk = forward.chunked  # the first chunk of a body of known length is sent unasked
-        while forward.chunked or len(body) < forward.length:
-            if request_chunk:
-                missing_bytes = max_chunk_bytes if forward.chunked else forward.length - len(body)
-                self.stream.write(ajp.encode_get_body(min(max_chunk_bytes, missing_bytes)))
-            request_chunk = True
-            chunk = self._read_chunk(config, deadline_s)
-            if not chunk and forward.chunked:
-                break
-            if not chunk:
-                raise ConnectionClosedError  # the HTTP client's body ended early
-            body += chunk
-            if len(body) > config.max_body:
-                raise RequestRejectedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
-            self._reserve_body(max(forward.length, len(body)))
-            if not forward.chunked and len(body) > forward.length:
-                raise ajp.MalformedPacketError(ajp.PacketFault.BODY_TOO_LONG)
-        return bytes(body)
-
-    def _read_chunk(self, config: AjpConfig, deadline_s: float) -> bytes:
-        remaining_s = deadline_s - time.monotonic()
-        if remaining_s <= 0:
-            raise StreamTimeoutError
-        return ajp.parse_request_chunk(
-            read_packet(self.stream, ajp.TO_CONTAINER, config.packet_size, remaining_s)
-        )
-
-    def _reserve_body(self, size: int) -> None:
-        """Reserves memory for the current body; rejects the request if all bodies exceed the shared limit."""
-        if self._front.body_bytes - self.body_bytes + size > self._front.max_bytes:
-            raise RequestRejectedError(HTTPStatus.SERVICE_UNAVAILABLE, "no memory for its body, never run")
-        self._set_body_bytes(size)
-
-    def _set_body_bytes(self, size: int) -> None:
-        if size != self.body_bytes:
-            self._front.add_body_bytes(size - self.body_bytes)
-            self.body_bytes = size
