AJP: the body of a health check is read before the next request

A chunk of 512 to 767 bytes begins with the code of a Forward Request: a filing ran that no web server had sent, and the next client on the connection got its answer.

Cause: AjpConnection answered the health check without the chunk that a web server sends unasked. Rejections read it. Both go through BodyReader.skip now; if no body chunk follows, the connection ends.

--- a/ochrehoist/net/ajp_body.py
+++ b/ochrehoist/net/ajp_body.py
@@ -72,6 +72,20 @@
                 raise ajp.MalformedPacketError(ajp.PacketFault.BODY_TOO_LONG)
         return bytes(body)
 
+    def skip(self, forward: ajp.ForwardRequest) -> None:
+        """Reads the part of an unread body that the web server sends unasked, after an answer without it.
+
+        Unread, that chunk would be taken for the next request. The rest of the body is never sent, since a web
+        server sends only one chunk unasked.
+
+        Raises:
+            ConnectionClosedError: The connection has ended.
+            MalformedPacketError: No body chunk followed the request.
+            StreamTimeoutError: The chunk did not arrive in time.
+        """
+        if forward.length:
+            self._read_chunk(self._front.config, time.monotonic() + self._front.config.body_timeout_s)
+
     def release(self) -> None:
         """Releases the memory that is reserved for the current body."""
         self._set_reserved_bytes(0)
--- a/ochrehoist/net/ajp_connection.py
+++ b/ochrehoist/net/ajp_connection.py
@@ -129,6 +129,7 @@
         responder = AjpResponder(self, forward.method == "HEAD")
         if forward.method == "GET" and forward.uri == self._front.config.health_uri:
             self._answer_health_check(responder)
+            self._bodies.skip(forward)
             return
         checked: CheckedRequest | None = None
         try:
@@ -180,9 +181,8 @@
             self._front.core.metrics.count(counter, class_name)
         if forward.chunked and self.body_bytes:
             self.stream.close_when_sent()  # unread body chunks would be taken for the next request
-        elif forward.length:  # a web server sends the first chunk of a body of known length unasked
-            config = self._front.config
-            read_packet(self.stream, ajp.TO_CONTAINER, config.packet_size, config.body_timeout_s)
+        else:
+            self._bodies.skip(forward)
 
     def _await_answer(self, request: InboundRequest, responder: AjpResponder) -> None:
         stream = self.stream
