AJP: a wrong length of a body ends the connection

Cause: where lengths contradicted each other, the front read on at a place that it could not know. A body longer than its stated length and max_body was answered 413 and one more packet was read, the next request; a packet after a rejected request was skipped unseen; of two lengths one was believed; the rest of a packet behind a chunk was dropped, in requests and responses.

--- a/ochrehoist/net/ajp.py
+++ b/ochrehoist/net/ajp.py
@@ -78,6 +78,8 @@
     b"referer",
     b"user-agent",
 )
+CONTENT_LENGTH_NAME = b"content-length"
+TRANSFER_ENCODING_NAME = b"transfer-encoding"
 # Codes of response headers.
 CONTENT_TYPE = 0xA001
 CONTENT_LENGTH = 0xA003
@@ -103,10 +105,12 @@
     UNKNOWN_ATTRIBUTE = "unknown attribute"
     UNKNOWN_METHOD = "unknown method code"
     INVALID_CONTENT_LENGTH = "invalid content length"
+    CONFLICTING_LENGTHS = "conflicting statements of the body's length"
     UNEXPECTED_PACKET = "unexpected packet type"
     WRONG_PACKET = "wrong magic bytes, or packet too long"
     RESPONSE_TOO_LARGE = "response exceeds the size limit"
     BODY_TOO_LONG = "body longer than its content length"
+    CHUNK_TOO_SHORT = "body chunk shorter than its packet"
 
 
 class MalformedPacketError(OchrehoistError):
@@ -243,7 +247,8 @@
     forward = ForwardRequest(packet, method, uri, remote_address)
     for _ in range(reader.read_u16()):
         name, value = reader.read_header()
-        forward.headers.setdefault(name, value)
+        if forward.headers.setdefault(name, value) != value and name == CONTENT_LENGTH_NAME:
+            raise MalformedPacketError(PacketFault.CONFLICTING_LENGTHS)
     _read_attributes(reader, forward, method_code)
     if not forward.method:
         raise MalformedPacketError(PacketFault.UNKNOWN_METHOD, method_code)
@@ -274,10 +279,13 @@
 
 
 def _read_body_length(forward: ForwardRequest) -> None:
-    length = forward.headers.get(b"content-length")
+    length = forward.headers.get(CONTENT_LENGTH_NAME)
+    chunked = b"chunked" in forward.headers.get(TRANSFER_ENCODING_NAME, b"").lower()
     if length is None:
-        forward.chunked = b"chunked" in forward.headers.get(b"transfer-encoding", b"").lower()
+        forward.chunked = chunked
         return
+    if chunked:
+        raise MalformedPacketError(PacketFault.CONFLICTING_LENGTHS)
     if not length.isdigit() or len(length) > MAX_CONTENT_LENGTH_DIGITS:
         raise MalformedPacketError(PacketFault.INVALID_CONTENT_LENGTH)
     forward.length = int(length)
@@ -288,7 +296,10 @@
     if not payload:
         return b""
     reader = PacketReader(payload)
-    return reader.read_bytes(reader.read_u16())
+    data = reader.read_bytes(reader.read_u16())
+    if reader.position != len(payload):
+        raise MalformedPacketError(PacketFault.CHUNK_TOO_SHORT)
+    return data
 
 
 # ---- responses
@@ -325,7 +336,10 @@
 def parse_response_chunk(payload: bytes) -> bytes:
     """Returns the data of a Send Body Chunk payload."""
     reader = PacketReader(payload, 1)
-    return reader.read_bytes(reader.read_u16())
+    data = reader.read_bytes(reader.read_u16())
+    if len(payload) - reader.position > 1:  # some servers leave out the terminating zero
+        raise MalformedPacketError(PacketFault.CHUNK_TOO_SHORT)
+    return data
 
 
 def parse_get_body(payload: bytes) -> int:
--- a/ochrehoist/net/ajp_body.py
+++ b/ochrehoist/net/ajp_body.py
@@ -44,6 +44,7 @@
 
         Raises:
             ConnectionClosedError: The body was cut off; the request does not run.
+            MalformedPacketError: The body is longer than announced, or not sent in body chunks.
             StreamTimeoutError: The body did not arrive by the deadline.
             RequestRejectedError: The body is too large, or there is no memory for it.
         """
@@ -65,26 +66,30 @@
             if not chunk:
                 raise ConnectionClosedError  # the HTTP client's body ended early
             body += chunk
+            if not forward.chunked and len(body) > forward.length:
+                raise ajp.MalformedPacketError(ajp.PacketFault.BODY_TOO_LONG)
             if len(body) > config.max_body:
                 raise RequestRejectedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
             self._reserve(max(forward.length, len(body)))
-            if not forward.chunked and len(body) > forward.length:
-                raise ajp.MalformedPacketError(ajp.PacketFault.BODY_TOO_LONG)
         return bytes(body)
 
     def skip(self, forward: ajp.ForwardRequest) -> None:
         """Reads the part of an unread body that the web server sends unasked, after an answer without it.
 
-        Unread, that chunk would be taken for the next request. The rest of the body is never sent, since a web
-        server sends only one chunk unasked.
+        Unread, that chunk would be taken for the next request. The rest of the body is never sent, since a
+        web server sends only one chunk unasked.
 
         Raises:
             ConnectionClosedError: The connection has ended.
-            MalformedPacketError: No body chunk followed the request.
+            MalformedPacketError: No chunk of this body followed the request.
             StreamTimeoutError: The chunk did not arrive in time.
         """
-        if forward.length:
-            self._read_chunk(self._front.config, time.monotonic() + self._front.config.body_timeout_s)
+        if not forward.length:
+            return
+        config = self._front.config
+        chunk = self._read_chunk(config, time.monotonic() + config.body_timeout_s)
+        if len(chunk) > forward.length:
+            raise ajp.MalformedPacketError(ajp.PacketFault.BODY_TOO_LONG)
 
     def release(self) -> None:
         """Releases the memory that is reserved for the current body."""
