AJP: input before an answer is not read as the next request

Cause: input that came before the answer stayed in the buffer and was the next packet. An answer in the middle of a body also promised that the connection could be used again, and closed it.

Such an answer says that the connection ends now (END_RESPONSE with reuse 0), and closes it.

--- a/ochrehoist/net/ajp_connection.py
+++ b/ochrehoist/net/ajp_connection.py
@@ -49,6 +49,8 @@
         super().__init__(loop, stream, number)
         self.busy = False
         self.has_sent_packet = False
+        self._body_pending = False  # whether a body chunk follows that the web server sends unasked
+        self._body_cut_off = False  # whether the rest of a body that was asked for is not read
         self._front = front
         self._bodies = BodyReader(front, stream)
         self._packet_size = front.config.packet_size
@@ -74,10 +76,10 @@
             self.stream.close_when_sent()
 
     def send_response(self, head: bytes, body: bytes) -> None:
-        """Sends a complete response; closes the connection after it if the front drains."""
+        """Sends a complete response; closes the connection after it if it cannot carry another request."""
         front = self._front
         stream = self.stream
-        reuse = not front.draining
+        reuse = not (front.draining or self._body_cut_off or self._has_unannounced_input)
         stream.write(ajp.encode_response(head, body, front.config.packet_size, reuse))
         if not reuse:
             stream.close_when_sent()
@@ -85,6 +87,15 @@
             stream.close()  # bounds the memory of the responses to all slow readers
         stream.activity.set()
 
+    @property
+    def _has_unannounced_input(self) -> bool:
+        """Whether there is input before the answer to the current request, other than its body.
+
+        A web server sends its next request after the answer, so this can only be a body whose length it did
+        not state. It must not be read as a request.
+        """
+        return bool(self.stream.buffer) and not self._body_pending
+
     # ---- packets
     def _read_packet(self) -> bytes:
         """Reads the next packet.
@@ -127,6 +138,7 @@
     # ---- requests
     def _handle_request(self, forward: ajp.ForwardRequest, arrived_ns: int) -> None:
         responder = AjpResponder(self, forward.method == "HEAD")
+        self._body_pending = forward.length > 0
         if forward.method == "GET" and forward.uri == self._front.config.health_uri:
             self._answer_health_check(responder)
             self._bodies.skip(forward)
@@ -138,6 +150,7 @@
             body = b""
             if forward.chunked or forward.length:
                 body = self._bodies.read(forward, checked.request_class)
+                self._body_pending = False
         except RequestRejectedError as error:
             class_name = checked.request_class.name if checked else error.class_name
             self._reject(forward, error, class_name, responder)
@@ -173,16 +186,14 @@
         class_name: str | None,
         responder: AjpResponder,
     ) -> None:
+        self._body_cut_off = forward.chunked and self.body_bytes > 0
         is_temporary = error.status is HTTPStatus.SERVICE_UNAVAILABLE
         headers = retry_after_header(error.retry_after_s) if is_temporary else ()
         responder.send_text(error.status, str(error), headers)
         if class_name is not None:
             counter = RequestCounter.REJECTED if is_temporary else RequestCounter.FAILED
             self._front.core.metrics.count(counter, class_name)
-        if forward.chunked and self.body_bytes:
-            self.stream.close_when_sent()  # unread body chunks would be taken for the next request
-        else:
-            self._bodies.skip(forward)
+        self._bodies.skip(forward)
 
     def _await_answer(self, request: InboundRequest, responder: AjpResponder) -> None:
         stream = self.stream
--- a/tests/net/test_ajp_bodies.py
+++ b/tests/net/test_ajp_bodies.py
@@ -11,7 +11,7 @@
     encode_packet,
     encode_text,
 )
-from tests.stand_ins.sockets import connection_end
+from tests.stand_ins.sockets import RecordingSocket, connection_end
 
 FORWARD_LENGTH = 0x0204  # a chunk of this length begins with the bytes 2 and 4, as a forwarded POST does
 MAX_BODY_BYTES = 20_000
@@ -61,6 +61,44 @@
         self.assertEqual(connection_end(client.sock), "closed")
 
 
+class UnannouncedInputTest(BodyTestCase):
+    """Input that arrives before the answer, on connections that carry one request at a time."""
+
+    def assert_ended_without_another_answer(self, client):
+        self.assertIs(client.reuse, False)
+        self.assertEqual(connection_end(client.sock), "closed")
+        self.assertTrue(self.server.received.empty())
+
+    def test_a_body_without_a_stated_length_is_not_read_as_the_next_request(self):
+        """Guards against a filing that no web server sent."""
+        client = self.program.ajp_client()
+        client.forward("POST", "/reads/1")
+        respond = self.server.next_request().respond
+        client.chunk(body_that_reads_as_a_filing())
+        self.program.wait_for(lambda status: status["in_hand"] == "1")
+        respond(data=b"read")
+        self.assertEqual(client.answer()[2], b"read")
+        self.assert_ended_without_another_answer(client)
+
+    def test_a_body_that_arrives_with_a_request_answered_at_once_is_not_read_as_the_next_one(self):
+        for uri, status in (("/healthz", 200), ("/none", 404)):
+            with self.subTest(uri=uri):
+                client, recorded = self.program.ajp_client(), []
+                sock, client.sock = client.sock, RecordingSocket(recorded)
+                client.forward("GET", uri)
+                client.chunk(body_that_reads_as_a_filing())
+                client.sock = sock
+                sock.sendall(b"".join(recorded))
+                self.assertEqual(client.answer()[0], status)
+                self.assert_ended_without_another_answer(client)
+
+    def test_an_answer_in_the_middle_of_a_body_says_that_the_connection_ends(self):
+        client = self.program.ajp_client()
+        client.forward("POST", "/reads/1", {"Transfer-Encoding": "chunked"})
+        self.assertEqual(client.answer(b"x" * (MAX_BODY_BYTES + 1))[0], 413)
+        self.assert_ended_without_another_answer(client)
+
+
 class WrongLengthTest(BodyTestCase):
     """Bodies whose lengths contradict each other: the connection ends, since its next byte has no meaning."""
 
