A filing that ran is known whatever the file says of its class, tenant and headers

Cause: a filing is remembered under tenant, class and key. Over AJP these three follow from the file (rules, default_tenant, names of headers), so the same request got another key.

Change: the core looks for an earlier attempt on arrival, under the class names that keys in the table have and under what the headers of before the last reloads say. Another class counts as the same filing only with the same tenant, key and target, or body where one attempt has no target; two attempts over Thrift with two classes stay two filings. The reader's headers move to net/ajp_filing_headers.py. Witnesses record a filing over AJP by its target too; a message to them holds at most a page of digests, as before. New optional fields of handover lines: unconfirmed_token, other_tokens.

Tests changed with signatures only: RecordingJournal (rejection_for takes the request, never_ran a fingerprint too) and PendingIntents.add and withdraw (a list of keys).

--- a/ochrehoist/core/handover_lines.py
+++ b/ochrehoist/core/handover_lines.py
@@ -140,13 +140,18 @@
 
     The payload, responder and executor stay in the process that read the request.
     """
-    return {name: getattr(request, field) for name, field in PLAIN_REQUEST_FIELDS.items()} | {
+    line = {name: getattr(request, field) for name, field in PLAIN_REQUEST_FIELDS.items()} | {
         "cls": class_to_json(request.request_class),
         "arrived": arrived_ns,
         "token": request.idempotency_key,
         "fingerprint": fingerprint_to_json(request.fingerprint),
         **reference_to_json(request.reference),
     }
+    if request.unconfirmed_key is not None:
+        line["unconfirmed_token"] = request.unconfirmed_key
+    if request.other_keys:
+        line["other_tokens"] = request.other_keys
+    return line
 
 
 def request_from_json(
@@ -165,6 +170,8 @@
         responder=remote,
         executor=remote,
         idempotency_key=_optional_key_from_json(data["token"]),
+        unconfirmed_key=_optional_key_from_json(data.get("unconfirmed_token")),
+        other_keys=tuple(key_from_json(key) for key in data.get("other_tokens", ())),
         fingerprint=fingerprint_from_json(data["fingerprint"]),
         is_remote=True,
         serial=reference_from_json(data).serial,
--- a/ochrehoist/core/handover_snapshot.py
+++ b/ochrehoist/core/handover_snapshot.py
@@ -157,7 +157,7 @@
             restored=bool(line.get("asleep")),
         )
         table = self.snapshot.idempotency
-        table.runs[key] = run
+        table.add_run(key, run)
         if line["result"] is not None:
             result = result_from_json(line["result"], self._codec)
             size_bytes = len(result.body) + result.detail_bytes + self._result_overhead_bytes
--- a/ochrehoist/core/idempotency_table.py
+++ b/ochrehoist/core/idempotency_table.py
@@ -4,6 +4,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ochrehoist.core.request import (
@@ -19,6 +20,7 @@
 # ms and derived from two clocks that are read one after the other, possibly with a pause of the process in
 # between. Serving a result for longer than the window is harmless.
 WINDOW_MARGIN_NS = 100_000_000
+MAX_CLASS_NAMES = 64  # beyond this, class names that no key has any more are removed
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,6 +64,21 @@
         return self.result is not None or self.result_evicted
 
 
+def is_same_filing(attempt: Fingerprint | None, known: Fingerprint | None) -> bool:
+    """Returns whether an attempt is of a known filing with the same caller's key, but another class name.
+
+    Over AJP the class follows from the configuration, and the caller states a target in its place. Callers
+    that state the class themselves have no target: among them, another class is another filing.
+    """
+    if attempt is None:
+        return False
+    if known is None:
+        return attempt[0] is not None  # a failure is better than a second run
+    if attempt[0] is not None and known[0] is not None:
+        return attempt[0] == known[0]
+    return attempt[0] != known[0] and attempt[1] == known[1]
+
+
 class IdempotencyTable:
     """Records and runs by idempotency key.
 
@@ -71,6 +88,7 @@
         bytes: Memory that results use now.
         records: The attempt that holds each key; an attempt holds at most one.
         runs: The attempt that ran for each key.
+        class_names: Names of all classes that keys in the table have; may have further ones.
     """
 
     def __init__(self, read_delay_ns: int, max_bytes: int) -> None:
@@ -79,6 +97,7 @@
         self.bytes = 0
         self.records: dict[IdempotencyKey, IdempotencyRecord] = {}
         self.runs: dict[IdempotencyKey, IdempotentRun] = {}
+        self.class_names: set[str] = set()
         self._keys_by_holder: dict[RequestReference, IdempotencyKey] = {}
         # Sizes (bytes) of the results in memory, oldest first.
         self._result_sizes: OrderedDict[IdempotencyKey, int] = OrderedDict()
@@ -94,6 +113,45 @@
         run = self.runs.get(key)
         return run.request if run is not None and arrived_ns <= run.window_end_ns else None
 
+    def find_key(
+        self,
+        key: IdempotencyKey,
+        other_keys: Iterable[IdempotencyKey],
+        fingerprint: Fingerprint | None,
+        arrived_ns: int,
+    ) -> IdempotencyKey | None:
+        """Returns the key under which an earlier attempt of a filing is known, if any.
+
+        Class names may have been derived from a configuration that has changed since. So a key of another
+        class, or one of `other_keys`, is that of the same filing if the fingerprints say so.
+        """
+        if self._is_known(key, arrived_ns):
+            return key
+        for other in (key, *other_keys):
+            for class_name in self.class_names:
+                candidate = (other[0], class_name, other[2])
+                if self._is_known(candidate, arrived_ns) and is_same_filing(
+                    fingerprint, self._fingerprint(candidate)
+                ):
+                    return candidate
+        return None
+
+    def knows_caller_key(self, tenant: str | None, caller_key: str, arrived_ns: int) -> bool:
+        """Returns whether a filing is known under the caller's key, whatever its class and content."""
+        return any(
+            self._is_known((tenant, class_name, caller_key), arrived_ns) for class_name in self.class_names
+        )
+
+    def _is_known(self, key: IdempotencyKey, arrived_ns: int) -> bool:
+        return self.original_request(key, arrived_ns) is not None or not self.may_run(key, arrived_ns)
+
+    def _fingerprint(self, key: IdempotencyKey) -> Fingerprint | None:
+        run = self.runs.get(key)
+        if run is not None and run.fingerprint is not None:
+            return run.fingerprint
+        record = self.records.get(key)
+        return None if record is None else record.fingerprint
+
     def has_same_content(self, key: IdempotencyKey, arrived_ns: int, fingerprint: Fingerprint | None) -> bool:
         """Returns False if the key belongs to different content; True if a fingerprint is unknown."""
         record = self.records.get(key)
@@ -119,6 +177,7 @@
         self.release(request)
         self.drop_record(key)
         self.records[key] = IdempotencyRecord(request, expires_ns, fingerprint)
+        self.class_names.add(key[1])
         self._keys_by_holder[request] = key
 
     def release(self, request: RequestReference) -> None:
@@ -150,7 +209,18 @@
     ) -> None:
         """Adds the run of an attempt; it replaces an earlier run of the same key."""
         self._drop_result(key)
-        self.runs[key] = IdempotentRun(request, window_end_ns + WINDOW_MARGIN_NS, fingerprint)
+        self.add_run(key, IdempotentRun(request, window_end_ns + WINDOW_MARGIN_NS, fingerprint))
+
+    def add_run(self, key: IdempotencyKey, run: IdempotentRun) -> None:
+        """Adds a run, for example one of another process."""
+        self.runs[key] = run
+        self.class_names.add(key[1])
+
+    def restore_runs(self, runs: dict[IdempotencyKey, IdempotentRun]) -> None:
+        """Adds runs from before a restart; runs that are known already take precedence."""
+        runs.update(self.runs)
+        self.runs = runs
+        self.class_names.update(key[1] for key in runs)
 
     def run_in_progress(self, key: IdempotencyKey, request: RequestReference) -> IdempotentRun | None:
         """Returns the run of this attempt; None once it has ended."""
@@ -211,6 +281,11 @@
         self._drop_result(key)
         del self.runs[key]
 
+    def remove_unused_class_names(self) -> None:
+        """Removes the names of classes that no key has any more, once there are many names."""
+        if len(self.class_names) > MAX_CLASS_NAMES:
+            self.class_names = {key[1] for keys in (self.records, self.runs) for key in keys}
+
     def expired_records(self, now_ns: int) -> list[IdempotencyKey]:
         """Returns the keys whose record no attempt still to be read can refer to."""
         oldest_arrival_ns = now_ns - self.read_delay_ns
--- a/ochrehoist/core/idempotent_runs.py
+++ b/ochrehoist/core/idempotent_runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import TYPE_CHECKING, Protocol
 
 from ochrehoist.admission import learned_state
@@ -14,6 +15,7 @@
     RequestReceived,
     RunAdopted,
 )
+from ochrehoist.admission.settings import Idempotency, RequestClass
 from ochrehoist.core.fault_confinement import FaultConfinement
 from ochrehoist.core.idempotency_table import IdempotencyTable, IdempotentRun
 from ochrehoist.core.messages import DuplicateResolved, IntentRecorded, Message, StateRestored
@@ -88,7 +90,7 @@
             return False
         if core.idempotency.original_request(key, request.arrived_ns) is not None:
             return False
-        rejection = self._journal.rejection_for(key)
+        rejection = self._journal.rejection_for(request)
         if rejection is None:
             return False
         if rejection.outcome_unknown:
@@ -132,7 +134,7 @@
         core = self._core
         waiters = core.idempotency.remove_unstarted_run(key, request.reference)
         if self._journal is not None:
-            core.faults.call("journal", self._journal.never_ran, key)
+            core.faults.call("journal", self._journal.never_ran, key, request.fingerprint)
         for reference in (request.reference, *waiters):
             waiting = find_request(core.open_requests, reference)
             if waiting is not None:
@@ -149,7 +151,7 @@
         if result.outcome in NEVER_RAN:
             waiters = core.idempotency.remove_unstarted_run(key, request.reference)
             if self._journal is not None:
-                core.faults.call("journal", self._journal.never_ran, key)
+                core.faults.call("journal", self._journal.never_ran, key, request.fingerprint)
         else:
             size_bytes = len(result.body) + result.detail_bytes + RESULT_OVERHEAD_BYTES
             waiters = core.idempotency.run_ended(key, request.reference, result, size_bytes)
@@ -185,6 +187,7 @@
             core.faults.call("record_expiry", table.drop_record, key)
         for key in table.expired_runs(core.now_ns):
             core.faults.call("run_expiry", self._drop_run, key)
+        table.remove_unused_class_names()
 
     def _drop_run(self, key: IdempotencyKey) -> None:
         self._core.idempotency.drop_run(key)
@@ -193,8 +196,7 @@
 
     def restore(self, message: StateRestored) -> None:
         """Adopts the runs and learned state read from the store; runs added since take precedence."""
-        message.runs.update(self._core.idempotency.runs)
-        self._core.idempotency.runs = message.runs
+        self._core.idempotency.restore_runs(message.runs)
         message.on_adopted()
         self._learned_state = message.learned_state
         self.restore_learned_state()
@@ -226,7 +228,21 @@
         core = self._core
         if core.controller is None:
             return
-        class_index = core.class_indices[key[1]]
-        window_ns = core.controller.settings.classes[class_index].idempotency_window_ns
+        classes = core.controller.settings.classes
+        class_index = _keyed_class_index(classes, core.class_indices.get(key[1]))
+        if class_index is None:
+            return  # duplicates then fail, since `IdempotencyTable.may_run` prevents a second run
+        window_ns = classes[class_index].idempotency_window_ns
         age_ns = max(0, core.now_ns - (run.window_end_ns - window_ns))
         core.dispatch(RunAdopted(RequestReceived(run.request, class_index, unread_ns=age_ns), True, True))
+
+
+def _keyed_class_index(classes: Sequence[RequestClass], index: int | None) -> int | None:
+    """Returns the position of the class under which the controller adopts a run.
+
+    That is the run's own class, if it still exists and has keys, or else any class with keys.
+    """
+    if index is not None and classes[index].idempotency is Idempotency.KEYED:
+        return index
+    keyed = (n for n, request_class in enumerate(classes) if request_class.idempotency is Idempotency.KEYED)
+    return next(keyed, None)
--- a/ochrehoist/core/message_handlers.py
+++ b/ochrehoist/core/message_handlers.py
@@ -44,6 +44,24 @@
         core.start_controller(core.settings)
 
 
+def _find_known_key(core: CoreContext, request: InboundRequest) -> None:
+    """Gives the request the key under which an earlier attempt of its filing is known, if there is one.
+
+    The configuration may have changed between the attempts, so this must be decided together with the rest
+    of the arrival.
+    """
+    key = request.idempotency_key or request.unconfirmed_key
+    if key is None:
+        return
+    table = core.idempotency
+    known_key = table.find_key(key, request.other_keys, request.fingerprint, request.arrived_ns)
+    if known_key is None:
+        return
+    is_confirmed = request.idempotency_key is not None or known_key != key
+    if is_confirmed or table.has_same_content(key, request.arrived_ns, request.fingerprint):
+        request.idempotency_key = known_key
+
+
 def request_arrived(core: CoreContext, message: RequestArrived) -> None:
     """Accepts a request and lets the controller decide on it, or answers it at once."""
     request = message.request
@@ -56,6 +74,7 @@
     # The arrival is Unix time, which may have been set since the process started, so only the age is used.
     # The age is not negative: an arrival in the future would extend the deadline and the window.
     request.arrived_ns = core.now_ns - max(0, core.wall_clock() - request.arrived_ns)
+    _find_known_key(core, request)
     for observer in core.responses.observers:
         core.faults.call("observer", observer.request_arrived, request)
     if arrival_checks.try_answer_on_arrival(core, request):
--- a/ochrehoist/core/protocols.py
+++ b/ochrehoist/core/protocols.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ochrehoist.admission.events import ConcurrencyLimits, Outcome
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from ochrehoist.core.idempotency_table import IdempotentRun
     from ochrehoist.core.metrics import RequestCounter
-    from ochrehoist.core.request import IdempotencyKey, InboundRequest, RequestReference
+    from ochrehoist.core.request import Fingerprint, IdempotencyKey, InboundRequest, RequestReference
 
 
 class Logger(Protocol):
@@ -152,15 +152,18 @@
         """Called when the store is open; `keys` are those that it holds."""
         ...
 
-    def may_have_run(self, key: bytes) -> bool:
-        """Returns whether a filing that the store does not hold may nevertheless have run."""
+    def may_have_run(self, keys: Sequence[bytes]) -> bool:
+        """Returns whether a filing that the store does not hold may nevertheless have run.
+
+        `keys` are those under which it may have been recorded.
+        """
         ...
 
-    def begin(self, request: RequestReference, key: bytes, window_left_s: float) -> None:
+    def begin(self, request: RequestReference, keys: Sequence[bytes], window_left_s: float) -> None:
         """Records the intent at the replicas; the journal's `replication_ended` is called afterwards."""
         ...
 
-    def drop(self, key: bytes) -> None:
+    def drop(self, keys: Sequence[bytes]) -> None:
         """Removes an intent that did not become a run."""
         ...
 
@@ -168,7 +171,7 @@
 class IdempotencyJournal(Protocol):
     """Persistent record of idempotent runs. It reports the results of calls by messages to the core."""
 
-    def rejection_for(self, key: IdempotencyKey) -> Rejection | None:
+    def rejection_for(self, request: InboundRequest) -> Rejection | None:
         """Returns a rejection if a filing cannot be recorded now, else None."""
         ...
 
@@ -184,7 +187,7 @@
         """Removes a run whose window has ended."""
         ...
 
-    def never_ran(self, key: IdempotencyKey) -> None:
+    def never_ran(self, key: IdempotencyKey, fingerprint: Fingerprint | None) -> None:
         """Removes a recorded intent whose run did not take place."""
         ...
 
--- a/ochrehoist/core/request.py
+++ b/ochrehoist/core/request.py
@@ -93,6 +93,10 @@
         tenant: Name of the tenant, if any.
         routing_key: The key by which routers choose the worker, if any.
         idempotency_key: Set for filings only.
+        unconfirmed_key: A key that the caller sent though the class has no keys now. It names a filing only
+            if one is known under it, from before the class or the rules were changed.
+        other_keys: Further keys under which an earlier attempt may be known, because the configuration from
+            which the front derives keys was changed in between.
         fingerprint: Digests of the content, for requests with an idempotency key.
         subject_hash: Hash of the subject and the caller, the same for all attempts; 0 if unknown.
         work_ns: CPU time that the caller stated, if any.
@@ -121,6 +125,8 @@
     tenant: str | None = None
     routing_key: str | None = None
     idempotency_key: IdempotencyKey | None = None
+    unconfirmed_key: IdempotencyKey | None = None
+    other_keys: tuple[IdempotencyKey, ...] = ()
     fingerprint: Fingerprint | None = None
     subject_hash: int = 0
     work_ns: int | None = None
--- a/ochrehoist/core/state_transfer.py
+++ b/ochrehoist/core/state_transfer.py
@@ -56,7 +56,7 @@
         if old_class is not None:  # a longer window also applies to earlier runs
             run.window_end_ns += max(0, windows.get(old_class.name, 0) - old_class.idempotency_window_ns)
         run.waiters = ()  # the controller attaches the duplicates again
-        if run.request not in started_requests and not run.restored and key[1] in core.class_indices:
+        if run.request not in started_requests and not run.restored:
             core.faults.call("adoption", core.idempotent_runs.adopt, key, run)
 
 
--- a/ochrehoist/net/ajp_body.py
+++ b/ochrehoist/net/ajp_body.py
@@ -8,7 +8,7 @@
 from ochrehoist.config.tables import AjpConfig
 from ochrehoist.net import ajp
 from ochrehoist.net.ajp_exchange import read_packet
-from ochrehoist.net.ajp_reader import RequestRejectedError
+from ochrehoist.net.ajp_filing_headers import RequestRejectedError
 from ochrehoist.net.stream import ConnectionClosedError, Stream, StreamTimeoutError
 from ochrehoist.units import NS_PER_S
 
--- a/ochrehoist/net/ajp_connection.py
+++ b/ochrehoist/net/ajp_connection.py
@@ -12,7 +12,8 @@
 from ochrehoist.net import ajp
 from ochrehoist.net.ajp_body import BodyReader
 from ochrehoist.net.ajp_exchange import read_packet
-from ochrehoist.net.ajp_reader import AjpReader, CheckedRequest, RequestRejectedError
+from ochrehoist.net.ajp_filing_headers import RequestRejectedError
+from ochrehoist.net.ajp_reader import AjpReader, CheckedRequest
 from ochrehoist.net.ajp_responder import AjpResponder, retry_after_header, retry_after_seconds
 from ochrehoist.net.front import MESSAGE_ARRIVAL_TIMEOUT_S, FrontConnection, FrontContext
 from ochrehoist.net.loop import Loop
--- a/ochrehoist/net/ajp_reader.py
+++ b/ochrehoist/net/ajp_reader.py
@@ -12,11 +12,12 @@
 from ochrehoist.admission.settings import AdmissionSettings, Idempotency, RequestClass
 from ochrehoist.config.tables import AjpConfig
 from ochrehoist.core.actor import CoreActor
-from ochrehoist.core.request import Executor, InboundRequest, Responder
-from ochrehoist.errors import OchrehoistError
+from ochrehoist.core.request import Executor, IdempotencyKey, InboundRequest, Responder
 from ochrehoist.net import ajp
+from ochrehoist.net.ajp_filing_headers import FilingHeaders, FormerHeaders, RequestRejectedError, StatedKey
 from ochrehoist.net.route_index import RouteIndex
 from ochrehoist.steps import run_to_completion
+from ochrehoist.units import NS_PER_S
 
 MAX_IDEMPOTENCY_KEY_LENGTH = 255
 SECRET_OVERHEAD_BYTES = 4  # attribute code, length and terminating zero of a server's secret
@@ -25,28 +26,20 @@
 FIRST_ATTEMPT_VALUES = frozenset({b"", b"0"})  # values of the retry header that do not mark a retry
 
 
-class RequestRejectedError(OchrehoistError):
-    """The request is rejected by the front before it reaches the core.
+class CheckedRequest(NamedTuple):
+    """The properties of a request that are known before its body is read.
 
     Attributes:
-        status: The HTTP status of the response.
-        retry_after_s: The Retry-After header in seconds, which is sent only with SERVICE_UNAVAILABLE.
-        class_name: The class of the request, or None if no route matched.
+        request_class: The class of its route.
+        tenant: The tenant, stated or by default.
+        key: The key under which a filing is known, or empty.
+        other_keys: What else the request states of its filing, by headers that may have been in force before.
     """
 
-    def __init__(self, status: HTTPStatus, reason: str, retry_after_s: int = 1) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.retry_after_s = retry_after_s
-        self.class_name: str | None = None
-
-
-class CheckedRequest(NamedTuple):
-    """The properties of a request that are known before its body is read."""
-
     request_class: RequestClass
     tenant: str | None
-    idempotency_key: str | None
+    key: StatedKey
+    other_keys: tuple[StatedKey, ...]
 
 
 class CompiledConfig(NamedTuple):
@@ -73,12 +66,15 @@
         compiled_config: The active configuration.
     """
 
+    REPEAT_MARGIN_NS = NS_PER_S  # beyond the longest window and deadline, for requests on their way
+
     def __init__(self, core: CoreActor, executor: Executor, config: AjpConfig) -> None:
         self.core = core
         self._executor = executor
         self._request_numbers = itertools.count(1)
         # Distinguishes request ids from those of the process that this one replaces.
         self._instance_id = secrets.token_hex(4)
+        self._former_headers = FormerHeaders()
         self.compiled_config = run_to_completion(self._compile_config(config, core.settings, None))
 
     def prepare(
@@ -89,10 +85,20 @@
 
         def commit() -> None:
             """Applies the prepared configuration."""
+            self._keep_former_headers(FilingHeaders.of(config), settings)
             self.compiled_config = compiled_config
 
         return commit
 
+    def _keep_former_headers(self, headers: FilingHeaders, settings: AdmissionSettings) -> None:
+        """Keeps the headers in force if others replace them, while filings read by them may be repeated."""
+        former = FilingHeaders.of(self.compiled_config.config)
+        if former == headers:
+            return
+        classes = (*self.compiled_config.classes.values(), *settings.classes)
+        longest_ns = max(c.idempotency_window_ns for c in classes) + max(c.deadline_ns for c in classes)
+        self._former_headers.add(former, self.core.clock() + longest_ns + self.REPEAT_MARGIN_NS)
+
     @staticmethod
     def _compile_config(
         config: AjpConfig, settings: AdmissionSettings, previous: CompiledConfig | None
@@ -144,27 +150,40 @@
             raise RequestRejectedError(
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "no room for the server's secret"
             )
-        tenant = _header_text(forward, config.tenant_header) or config.default_tenant
+        headers = FilingHeaders.of(config)
+        stated_tenant = headers.stated_tenant(forward)
+        tenant = stated_tenant or config.default_tenant
         is_keyed = request_class.idempotency is Idempotency.KEYED
-        key = _unquoted(_header_text(forward, config.key_header).strip()) if is_keyed else ""
-        tenants = self.core.tenants
-        if (
-            tenant is not None
-            and tenants
-            and tenant not in tenants
-            and not self._is_repeat(request_class, tenant, key)
-        ):
+        key = headers.key(forward) if is_keyed else self._optional_key(headers, forward)
+        other_keys = self._former_headers.read(forward, self.core)
+        if stated_tenant is None and tenant is not None and key:  # the default may be new
+            other_keys.append(StatedKey(None, key))
+        # A filing of a tenant that was removed may have run.
+        if self._is_unknown(tenant) and not self._is_repeat(StatedKey(tenant, key), *other_keys):
             raise RequestRejectedError(HTTPStatus.BAD_REQUEST, "unknown tenant")
+        if is_keyed and not key and self._is_repeat(*other_keys):
+            tenant, key = other_keys[0]
         if is_keyed and not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_LENGTH:
             raise RequestRejectedError(HTTPStatus.BAD_REQUEST, "a filing needs a key")
-        return CheckedRequest(request_class, tenant, key or None)
+        return CheckedRequest(request_class, tenant, StatedKey(tenant, key), tuple(other_keys))
 
-    def _is_repeat(self, request_class: RequestClass, tenant: str, key: str) -> bool:
-        """Returns whether the request repeats a known filing, whose tenant may have been removed since."""
-        if not key:
-            return False
-        full_key = (tenant, request_class.name, key)
-        return self.core.idempotency.original_request(full_key, self.core.clock()) is not None
+    @staticmethod
+    def _optional_key(headers: FilingHeaders, forward: ajp.ForwardRequest) -> str:
+        """Returns the key of a request whose class has no keys; it is empty if it cannot be one."""
+        if headers.key_header not in forward.headers:
+            return ""
+        stated = headers.read(forward)
+        return stated.key if stated is not None and len(stated.key) <= MAX_IDEMPOTENCY_KEY_LENGTH else ""
+
+    def _is_unknown(self, tenant: str | None) -> bool:
+        tenants = self.core.tenants
+        return tenant is not None and bool(tenants) and tenant not in tenants
+
+    def _is_repeat(self, *stated: StatedKey) -> bool:
+        """Returns whether the request repeats a known filing, under any of these keys."""
+        table = self.core.idempotency
+        now_ns = self.core.clock()
+        return any(key.key and table.knows_caller_key(key.tenant, key.key, now_ns) for key in stated)
 
     def read_request(
         self,
@@ -176,10 +195,13 @@
     ) -> InboundRequest:
         """Builds the core's request from a checked request and its body; `arrived_ns` is Unix time."""
         config = self.compiled_config.config
-        request_class, tenant, key = checked
-        idempotency_key = fingerprint = None
-        if key:
-            idempotency_key = (tenant, request_class.name, key)
+        request_class = checked.request_class
+        is_keyed = request_class.idempotency is Idempotency.KEYED
+        key = fingerprint = None
+        other_keys: tuple[IdempotencyKey, ...] = ()
+        if checked.key.key:
+            key = _full_key(checked.key, request_class)
+            other_keys = tuple(_full_key(other, request_class) for other in checked.other_keys)
             fingerprint = (
                 sha256(f"{forward.method} ".encode() + forward.uri).digest(),
                 sha256(body).digest(),
@@ -191,8 +213,10 @@
             payload=ajp.AjpPayload(forward, body),
             responder=responder,
             executor=self._executor,
-            tenant=tenant,
-            idempotency_key=idempotency_key,
+            tenant=checked.tenant,
+            idempotency_key=key if is_keyed else None,
+            unconfirmed_key=None if is_keyed else key,
+            other_keys=other_keys,
             fingerprint=fingerprint,
             subject_hash=crc32(forward.remote_address, crc32(forward.uri)) or 1,
             memory_kb=config.memory_kb + (len(forward.packet) + len(body)) / BYTES_PER_KB,
@@ -202,20 +226,5 @@
         )
 
 
-def _header_text(forward: ajp.ForwardRequest, name: bytes) -> str:
-    """Returns a header decoded as UTF-8, or an empty string if it is missing.
-
-    The Thrift front decodes keys as UTF-8 too. With different decodings, one key would name two filings, and
-    the filing would run twice.
-    """
-    try:
-        return forward.headers.get(name, b"").decode()
-    except UnicodeDecodeError:
-        raise RequestRejectedError(HTTPStatus.BAD_REQUEST, f"{name.decode()} is not UTF-8") from None
-
-
-def _unquoted(key: str) -> str:
-    """Removes the quotes of a key: the header's standard form is quoted, but a bare key is accepted."""
-    if len(key) > 1 and key[0] == key[-1] == '"':
-        return key[1:-1]
-    return key
+def _full_key(stated: StatedKey, request_class: RequestClass) -> IdempotencyKey:
+    return stated.tenant, request_class.name, stated.key
--- a/ochrehoist/net/intent_replication.py
+++ b/ochrehoist/net/intent_replication.py
@@ -9,6 +9,7 @@
 import math
 import secrets
 import time
+from collections.abc import Sequence
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ochrehoist.config.tables import RecoveryConfig
@@ -107,14 +108,19 @@
 
     # ---- IntentReplicator of the journal
 
-    def may_have_run(self, key: bytes) -> bool:
-        """Returns whether a run that the store does not hold may nevertheless have begun."""
+    def may_have_run(self, keys: Sequence[bytes]) -> bool:
+        """Returns whether a run that the store does not hold may nevertheless have begun.
+
+        `keys` are those under which witnesses may have recorded it.
+        """
         if not self.history_known:
             return True
-        window_end_s = self.missing_runs.get(key_digest(key)) if self.missing_runs else None
-        return window_end_s is not None and window_end_s > time.monotonic()
+        if not self.missing_runs:
+            return False
+        now_s = time.monotonic()
+        return any(self.missing_runs.get(key_digest(key), now_s) > now_s for key in keys)
 
-    def begin(self, request: RequestReference, key: bytes, window_left_s: float) -> None:
+    def begin(self, request: RequestReference, keys: Sequence[bytes], window_left_s: float) -> None:
         """Sends the intent to the witnesses.
 
         The journal's `replication_ended` is called once enough of them have confirmed it, or with False after
@@ -122,12 +128,12 @@
         """
         now = time.monotonic()
         max_wait_s = self._config.witness_timeout_ms / 1000
-        self.pending.add(request, key, window_left_s + WINDOW_MARGIN_S, max_wait_s, now)
+        self.pending.add(request, keys, window_left_s + WINDOW_MARGIN_S, max_wait_s, now)
         self._send_pending(now)
 
-    def drop(self, key: bytes) -> None:
+    def drop(self, keys: Sequence[bytes]) -> None:
         """Withdraws the intent of a run that never began."""
-        self.pending.withdraw(key)
+        self.pending.withdraw(keys)
 
     def journal_opened(self, keys: list[bytes]) -> None:
         """Starts to query the witnesses for runs whose keys the opened store does not hold."""
--- a/ochrehoist/net/thrift_reader.py
+++ b/ochrehoist/net/thrift_reader.py
@@ -128,6 +128,7 @@
         token = fields.text(b"token") if is_keyed else fields.optional_text(b"token")
         if is_keyed and not token:
             raise InvalidArgumentsError.in_field("token", "empty")
+        key = (tenant, method, token) if token else None
         if len(body) > MAX_BODY_BYTES:
             raise InvalidArgumentsError.in_argument("body", "too long")
         estimate_ms = fields.optional_number(b"est", 0.0, MAX_ESTIMATE_MS)
@@ -140,8 +141,9 @@
             executor=self._executor,
             tenant=tenant,
             routing_key=fields.optional_text(b"obj"),
-            idempotency_key=(tenant, method, token) if is_keyed and token else None,
-            fingerprint=(None, sha256(body).digest()) if is_keyed else None,
+            idempotency_key=key if is_keyed else None,
+            unconfirmed_key=None if is_keyed else key,
+            fingerprint=(None, sha256(body).digest()) if key else None,
             work_ns=int(estimate_ms * NS_PER_MS) if estimate_ms else None,
             memory_kb=fields.number(b"mem", MIN_MEMORY_KB, MAX_MEMORY_KB),
             rank=fields.optional_number(b"prio", 0.0, 1.0) or 0.0,
--- a/ochrehoist/recovery/pending_intents.py
+++ b/ochrehoist/recovery/pending_intents.py
@@ -23,9 +23,17 @@
 
 @dataclass(slots=True)
 class PendingIntent:
-    """The intent of a run, which may begin once a write quorum has recorded it."""
+    """The intent of a run, which may begin once a write quorum has recorded it.
 
-    digest: bytes
+    Attributes:
+        digests: Of the keys by which witnesses know the run.
+        added_at: When it was added.
+        times_out_at: When it is given up.
+        window_ends_at: The end of its idempotency window.
+        recorded_by: The witnesses that have recorded it.
+    """
+
+    digests: tuple[bytes, ...]
     added_at: float
     times_out_at: float
     window_ends_at: float
@@ -53,31 +61,31 @@
     def add(
         self,
         request: RequestReference,
-        stored_key: bytes,
+        keys: Sequence[bytes],
         remaining_window_s: float,
         max_wait_s: float,
         now: float,
     ) -> None:
         """Adds the intent of a run; gives up after `max_wait_s` without a write quorum."""
         self._pending[request] = PendingIntent(
-            key_digest(stored_key), now, now + max_wait_s, now + remaining_window_s
+            tuple(map(key_digest, keys)), now, now + max_wait_s, now + remaining_window_s
         )
 
-    def withdraw(self, stored_key: bytes) -> None:
+    def withdraw(self, keys: Sequence[bytes]) -> None:
         """Withdraws the intent of a run that never began.
 
         Withdrawals that exceed one message are dropped: the witnesses then keep those intents until they
         expire.
         """
         if len(self._withdrawn) < PAGE_SIZE:
-            self._withdrawn.append(key_digest(stored_key))
+            self._withdrawn += map(key_digest, keys)
 
     def messages(self, now: float, is_due: Callable[[RequestReference], bool]) -> list[EncodedWitnessMessage]:
         """Returns the messages to send now.
 
         `is_due` is called once per request, and returns whether its intent was not sent recently.
         """
-        requests = [request for request in self._pending if is_due(request)][:PAGE_SIZE]
+        requests = self._due_requests(is_due)
         if not requests and not self._withdrawn:
             return []
         self._message_number += 1
@@ -92,12 +100,25 @@
                 outgoing.append(EncodedWitnessMessage(witness, encode(message)))
         return outgoing
 
+    def _due_requests(self, is_due: Callable[[RequestReference], bool]) -> list[RequestReference]:
+        """Returns the requests whose intents to send now, as many as fit into one message."""
+        requests = []
+        digest_count = 0
+        for request, intent in self._pending.items():
+            if digest_count + len(intent.digests) > PAGE_SIZE:
+                break
+            if is_due(request):
+                digest_count += len(intent.digests)
+                requests.append(request)
+        return requests
+
     def _take_withdrawn(self) -> list[bytes]:
         """Returns the withdrawals to send, without those of keys that a later attempt uses.
 
         Witnesses of earlier releases apply the withdrawals of a message after its intents.
         """
-        used = {intent.digest for intent in self._pending.values()} if self._withdrawn else set()
+        pending = self._pending.values() if self._withdrawn else ()
+        used = {digest for intent in pending for digest in intent.digests}
         withdrawn = [digest for digest in self._withdrawn if digest not in used]
         self._withdrawn = []
         return withdrawn
@@ -108,7 +129,11 @@
         missing = [
             intent for intent in map(self._pending.__getitem__, requests) if witness not in intent.recorded_by
         ]
-        intents = [(intent.digest, int(1000 * (intent.window_ends_at - now)) + 1) for intent in missing]
+        intents = [
+            (digest, int(1000 * (intent.window_ends_at - now)) + 1)
+            for intent in missing
+            for digest in intent.digests
+        ]
         return RecordIntent(self._message_number, intents, withdrawn)
 
     def acknowledge(self, witness: str, message_number: int, now: float) -> list[RequestReference]:
@@ -140,5 +165,5 @@
         for request in expired:
             intent = self._pending.pop(request)
             if intent.recorded_by:
-                self._withdrawn.append(intent.digest)
+                self._withdrawn += intent.digests
         return expired
--- a/ochrehoist/store/journal.py
+++ b/ochrehoist/store/journal.py
@@ -15,7 +15,7 @@
 from ochrehoist.core.idempotency_table import IdempotentRun
 from ochrehoist.core.messages import DuplicateResolved, IntentRecorded, StateRestored
 from ochrehoist.core.protocols import DetailCodec, IntentReplicator
-from ochrehoist.core.request import IdempotencyKey, InboundRequest, RequestReference
+from ochrehoist.core.request import Fingerprint, IdempotencyKey, InboundRequest, RequestReference
 from ochrehoist.core.results import Rejection, RunResult
 from ochrehoist.loop_protocols import StartBlockingCalls, TimerLoop
 from ochrehoist.periodic_calls import call_periodically
@@ -41,6 +41,7 @@
 from ochrehoist.store.records import IntentRecord, LearnedStateRecord, ResultRecord, encode_key
 from ochrehoist.store.store_repair import OpenStore
 from ochrehoist.store.timestamps import current_timestamp
+from ochrehoist.store.witness_keys import possible_witness_keys, witness_keys
 from ochrehoist.store.write_queue import WriteQueue
 from ochrehoist.units import NS_PER_S
 
@@ -136,18 +137,20 @@
 
     # Implementation of `core.protocols.IdempotencyJournal`.
 
-    def rejection_for(self, token: IdempotencyKey) -> Rejection | None:
+    def rejection_for(self, request: InboundRequest) -> Rejection | None:
         """Returns the rejection of a request with an unknown key; None if it can be accepted."""
         if not self.restored:
             return Rejection(0, outcome_unknown=True)
-        rejection = self._rejection(token)
+        rejection = self._rejection(request)
         if rejection is not None:
             self._metrics.rejections += 1
         return rejection
 
-    def _rejection(self, key: IdempotencyKey) -> Rejection | None:
-        if self._replicator is not None and self._replicator.may_have_run(encode_key(key)):
-            return Rejection(0, outcome_unknown=True)
+    def _rejection(self, request: InboundRequest) -> Rejection | None:
+        if self._replicator is not None:
+            class_names = self._owner.idempotency.class_names | self._owner.class_indices.keys()
+            if self._replicator.may_have_run(possible_witness_keys(request, class_names)):
+                return Rejection(0, outcome_unknown=True)
         if self._queue.rejection_reason(time.monotonic()):
             return Rejection(REJECTION_BACKOFF_NS)
         hold_ns = self._hold_until_ns - self._owner.clock()
@@ -165,7 +168,8 @@
         self._scheduler.add(PutIntent(request.reference, key, intent))
         if self._replicator is not None:
             self._confirmations.expect(request.reference)
-            self._replicator.begin(request.reference, key, intent.remaining_ns / NS_PER_S)
+            keys = witness_keys(request.idempotency_key, request.fingerprint)
+            self._replicator.begin(request.reference, keys, intent.remaining_ns / NS_PER_S)
 
     def end(self, token: IdempotencyKey, run: IdempotentRun, result: RunResult) -> None:
         """Records the result of a run, unless it exceeds the size limit."""
@@ -180,11 +184,11 @@
         """Deletes the records of a request whose idempotency window is over."""
         self._scheduler.add(DeleteIntent(encode_key(token)))
 
-    def never_ran(self, token: IdempotencyKey) -> None:
+    def never_ran(self, token: IdempotencyKey, fingerprint: Fingerprint | None) -> None:
         """Deletes the intent of a request that was recorded but did not run."""
         self.drop(token)
         if self._replicator is not None:
-            self._replicator.drop(encode_key(token))
+            self._replicator.drop(witness_keys(token, fingerprint))
 
     def fetch(self, token: IdempotencyKey, request: RequestReference) -> None:
         """Fetches a stored result for a duplicate request.
@@ -279,7 +283,9 @@
         known_runs = dict(self._owner.idempotency.runs)
         self._record_changes_since(opened, known_runs)
         if self._replicator is not None:
-            self._replicator.journal_opened([encode_key(key) for key in {**opened.runs, **known_runs}])
+            runs = {**opened.runs, **known_runs}
+            stored_keys = [k for key, run in runs.items() for k in witness_keys(key, run.fingerprint)]
+            self._replicator.journal_opened(stored_keys)
         gc.freeze()  # excludes the restored runs, which are long-lived, from later collections
         self._owner.post(StateRestored(opened.runs, learned, self._state_adopted))
         self._scheduler.run()
--- a/ochrehoist/store/records.py
+++ b/ochrehoist/store/records.py
@@ -133,6 +133,11 @@
     return _encoder.encode(key)
 
 
+def encode_target_key(tenant: str | None, target: bytes, caller_key: str) -> bytes:
+    """Returns a key of a filing without its class, unlike all keys that `encode_key` returns."""
+    return _encoder.encode((tenant, target, caller_key))
+
+
 def checksum(key: bytes, data: bytes) -> int:
     """Returns the XXH3-64 of a record's version and content, seeded by its key."""
     return xxhash.xxh3_64_intdigest(data, seed=xxhash.xxh3_64_intdigest(key))
--- a/tests/core/core_test_case.py
+++ b/tests/core/core_test_case.py
@@ -8,7 +8,7 @@
 from ochrehoist.core.actor import CoreActor
 from ochrehoist.core.idempotency_table import IdempotentRun
 from ochrehoist.core.messages import ExecutorReady, Message, RequestArrived
-from ochrehoist.core.request import IdempotencyKey, InboundRequest
+from ochrehoist.core.request import Fingerprint, IdempotencyKey, InboundRequest
 from ochrehoist.core.results import FailureReason, Rejection, RunResult
 
 S = 10**9
@@ -71,7 +71,7 @@
         self.calls: list[tuple[Any, ...]] = []
         self.rejection: Rejection | None = None
 
-    def rejection_for(self, key: IdempotencyKey) -> Rejection | None:  # noqa: ARG002
+    def rejection_for(self, request: InboundRequest) -> Rejection | None:  # noqa: ARG002
         """Returns the configured rejection."""
         return self.rejection
 
@@ -88,7 +88,7 @@
         """Records the call."""
         self.calls.append(("drop", key[2]))
 
-    def never_ran(self, key: IdempotencyKey) -> None:
+    def never_ran(self, key: IdempotencyKey, fingerprint: Fingerprint | None) -> None:  # noqa: ARG002
         """Records the call like `drop`."""
         self.drop(key)
 
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -59,7 +59,7 @@
                 key = f"key{self.count}".encode()
                 request = RequestReference(f"r{self.count}", self.count)
                 self.keys[request] = key, self.now
-                self.pending.add(request, key, WINDOW, 0.25, self.now)
+                self.pending.add(request, [key], WINDOW, 0.25, self.now)
                 if not self.wait_for_quorum:
                     self.begun[key] = self.now
             for name, data in self.pending.messages(self.now, self.is_due):
@@ -165,11 +165,11 @@
         # Guards against a second run: a message had an intent and the withdrawal of the attempt before.
         pending, log, former_log = PendingIntents(["a"]), IntentLog(0.0), IntentLog(0.0)
         first, second = RequestReference("r1", 1), RequestReference("r2", 2)
-        pending.add(first, b"k", WINDOW, 0.25, 0.0)
+        pending.add(first, [b"k"], WINDOW, 0.25, 0.0)
         pending.remove_timed_out(1.0)
-        pending.withdraw(b"k")
-        pending.withdraw(b"other")
-        pending.add(second, b"k", WINDOW, 0.25, 1.0)
+        pending.withdraw([b"k"])
+        pending.withdraw([b"other"])
+        pending.add(second, [b"k"], WINDOW, 0.25, 1.0)
         ((_, data),) = pending.messages(1.0, lambda _request: True)
         message = decode("tell", data)
         self.assertEqual(message.withdrawn, [key_digest(b"other")])
