AJP: a request has 256 header fields at most, and keeps only those that are read

Cause: parse_forward kept every header, 140 bytes for one of 9, as long as the request was open, and took 5 ms for such a head.

More than 256 headers or attributes are answered 431, and the connection ends: the body's length is unknown then. Only headers are kept that the worker reads, those of former configurations included.

tests/net/test_many_clients.py: 431 failed before (504), passes.

--- a/ochrehoist/net/ajp.py
+++ b/ochrehoist/net/ajp.py
@@ -5,7 +5,7 @@
 """
 
 import struct
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -80,6 +80,7 @@
 )
 CONTENT_LENGTH_NAME = b"content-length"
 TRANSFER_ENCODING_NAME = b"transfer-encoding"
+LENGTH_NAMES = (CONTENT_LENGTH_NAME, TRANSFER_ENCODING_NAME)
 # Codes of response headers.
 CONTENT_TYPE = 0xA001
 CONTENT_LENGTH = 0xA003
@@ -91,6 +92,7 @@
 NULL_STRING_LENGTH = 0xFFFF  # length field of an absent string
 CODED_HEADER_PREFIX = 0xA0  # high byte of a header code
 MAX_CONTENT_LENGTH_DIGITS = 15
+MAX_FIELDS = 256  # headers, and likewise attributes; web servers pass on about 100 headers at most
 
 _U16 = struct.Struct(">H")
 
@@ -104,6 +106,7 @@
     TWO_SECRETS = "duplicate secret attribute"
     UNKNOWN_ATTRIBUTE = "unknown attribute"
     UNKNOWN_METHOD = "unknown method code"
+    TOO_MANY_FIELDS = "too many headers or attributes:"
     INVALID_CONTENT_LENGTH = "invalid content length"
     CONFLICTING_LENGTHS = "conflicting statements of the body's length"
     UNEXPECTED_PACKET = "unexpected packet type"
@@ -126,6 +129,13 @@
         self.fault = fault
 
 
+class TooManyFieldsError(MalformedPacketError):
+    """A Forward Request has more headers or attributes than are read, so the rest of it is unknown."""
+
+    def __init__(self, count: int) -> None:
+        super().__init__(PacketFault.TOO_MANY_FIELDS, count)
+
+
 class PacketReader:
     """A cursor over the payload of a packet. Its methods raise MalformedPacketError beyond the end."""
 
@@ -195,7 +205,7 @@
         method: The HTTP method.
         uri: The path as decoded by the web server, without the query.
         remote_address: The address of the HTTP client.
-        headers: The first value of each header, by name in lower case.
+        headers: The first value of each header that is of interest, by name in lower case.
         length: The size of the body in bytes; 0 if unknown.
         chunked: Whether the size of the body is unknown and an empty chunk ends it.
         secret: The secret that authenticates the web server, if it sent one.
@@ -232,8 +242,17 @@
     body: bytes
 
 
-def parse_forward(packet: bytes) -> ForwardRequest:
-    """Parses the payload of a Forward Request packet."""
+def parse_forward(packet: bytes, header_names: Container[bytes] | None = None) -> ForwardRequest:
+    """Parses the payload of a Forward Request packet.
+
+    Args:
+        packet: The payload.
+        header_names: The headers to keep, besides those that state the length of the body; None for all.
+
+    Raises:
+        TooManyFieldsError: It has more than MAX_FIELDS headers or attributes.
+        MalformedPacketError: It cannot be parsed.
+    """
     reader = PacketReader(packet, 1)
     method_code = reader.read_byte()
     reader.read_string()  # protocol
@@ -245,10 +264,7 @@
     reader.read_byte()  # whether the client used TLS
     method = METHODS[method_code] if 0 < method_code < len(METHODS) else ""
     forward = ForwardRequest(packet, method, uri, remote_address)
-    for _ in range(reader.read_u16()):
-        name, value = reader.read_header()
-        if forward.headers.setdefault(name, value) != value and name == CONTENT_LENGTH_NAME:
-            raise MalformedPacketError(PacketFault.CONFLICTING_LENGTHS)
+    _read_headers(reader, forward, header_names)
     _read_attributes(reader, forward, method_code)
     if not forward.method:
         raise MalformedPacketError(PacketFault.UNKNOWN_METHOD, method_code)
@@ -256,9 +272,27 @@
     return forward
 
 
+def _read_headers(
+    reader: PacketReader, forward: ForwardRequest, header_names: Container[bytes] | None
+) -> None:
+    count = reader.read_u16()
+    if count > MAX_FIELDS:
+        raise TooManyFieldsError(count)
+    for _ in range(count):
+        name, value = reader.read_header()
+        if header_names is not None and name not in header_names and name not in LENGTH_NAMES:
+            continue
+        if forward.headers.setdefault(name, value) != value and name == CONTENT_LENGTH_NAME:
+            raise MalformedPacketError(PacketFault.CONFLICTING_LENGTHS)
+
+
 def _read_attributes(reader: PacketReader, forward: ForwardRequest, method_code: int) -> None:
+    count = 0
     while (kind := reader.read_byte()) != ATTRIBUTES_END:
         start = reader.position - 1
+        count += 1
+        if count > MAX_FIELDS:
+            raise TooManyFieldsError(count)
         if kind == ATTRIBUTE_OTHER:
             reader.read_string()  # name
             reader.read_string()  # value
--- a/ochrehoist/net/ajp_connection.py
+++ b/ochrehoist/net/ajp_connection.py
@@ -51,7 +51,7 @@
         self.busy = False
         self.has_sent_packet = False
         self._body_pending = False  # whether a body chunk follows that the web server sends unasked
-        self._body_cut_off = False  # whether the rest of a body that was asked for is not read
+        self._request_unread = False  # whether a part of the request is not read, so that no other can follow
         self._front = front
         self._bodies = BodyReader(front, stream)
         self._packet_size = front.config.packet_size
@@ -61,6 +61,11 @@
         """Memory reserved for the body of the current request, in bytes."""
         return self._bodies.reserved_bytes
 
+    def has_complete_message(self) -> bool:
+        """See FrontConnection; messages are packets here."""
+        buffer = self.stream.buffer
+        return len(buffer) >= ajp.HEADER_BYTES + int.from_bytes(buffer[2 : ajp.HEADER_BYTES], "big")
+
     def run(self) -> None:
         """Handles packets until the connection ends; runs as the connection's task."""
         try:
@@ -80,7 +85,7 @@
         """Sends a complete response; closes the connection after it if it cannot carry another request."""
         front = self._front
         stream = self.stream
-        reuse = not (front.draining or self._body_cut_off or self._has_unannounced_input)
+        reuse = not (front.draining or self._request_unread or self._has_unannounced_input)
         stream.write(ajp.encode_response(head, body, front.config.packet_size, reuse))
         if not reuse:
             stream.close_when_sent()
@@ -124,7 +129,7 @@
         kind = packet[0] if packet else 0
         if kind == ajp.FORWARD:
             self.busy = True
-            self._handle_request(ajp.parse_forward(packet), arrived_ns)
+            self._handle_forward(packet, arrived_ns)
             self.busy = False
             self._bodies.release()
             self.last_used_at_s = time.monotonic()
@@ -137,6 +142,17 @@
         return True
 
     # ---- requests
+    def _handle_forward(self, packet: bytes, arrived_ns: int) -> None:
+        try:
+            forward = ajp.parse_forward(packet, self._front.reader.header_names)
+        except ajp.TooManyFieldsError:
+            self._request_unread = True
+            AjpResponder(self, head_only=False).send_text(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "too many header fields"
+            )
+        else:
+            self._handle_request(forward, arrived_ns)
+
     def _handle_request(self, forward: ajp.ForwardRequest, arrived_ns: int) -> None:
         responder = AjpResponder(self, forward.method == "HEAD")
         self._body_pending = forward.length > 0
@@ -187,7 +203,7 @@
         class_name: str | None,
         responder: AjpResponder,
     ) -> None:
-        self._body_cut_off = forward.chunked and self.body_bytes > 0
+        self._request_unread = forward.chunked and self.body_bytes > 0
         is_temporary = error.status is HTTPStatus.SERVICE_UNAVAILABLE
         headers = retry_after_header(error.retry_after_s) if is_temporary else ()
         responder.send_text(error.status, str(error), headers)
--- a/ochrehoist/net/ajp_filing_headers.py
+++ b/ochrehoist/net/ajp_filing_headers.py
@@ -87,6 +87,10 @@
         while len(self._expiry_ns) > MAX_FORMER_HEADERS:
             del self._expiry_ns[min(self._expiry_ns, key=self._expiry_ns.__getitem__)]
 
+    def names(self) -> set[bytes]:
+        """Returns the names of these headers."""
+        return {name for headers in self._expiry_ns for name in (headers.tenant_header, headers.key_header)}
+
     def read(self, forward: ajp.ForwardRequest, core: CoreClock) -> list[StatedKey]:
         """Returns what the former headers state in a request, as far as they have not expired."""
         if not self._expiry_ns:
--- a/ochrehoist/net/ajp_reader.py
+++ b/ochrehoist/net/ajp_reader.py
@@ -64,6 +64,7 @@
     Attributes:
         core: Provides the tenants, and the idempotency keys that are in use.
         compiled_config: The active configuration.
+        header_names: The headers that are read, in the active configuration and in former ones.
     """
 
     REPEAT_MARGIN_NS = NS_PER_S  # beyond the longest window and deadline, for requests on their way
@@ -76,6 +77,7 @@
         self._instance_id = secrets.token_hex(4)
         self._former_headers = FormerHeaders()
         self.compiled_config = run_to_completion(self._compile_config(config, core.settings, None))
+        self.header_names = self._names_of_headers(config)
 
     def prepare(
         self, config: AjpConfig, settings: AdmissionSettings
@@ -87,9 +89,14 @@
             """Applies the prepared configuration."""
             self._keep_former_headers(FilingHeaders.of(config), settings)
             self.compiled_config = compiled_config
+            self.header_names = self._names_of_headers(config)
 
         return commit
 
+    def _names_of_headers(self, config: AjpConfig) -> frozenset[bytes]:
+        names = {config.tenant_header, config.key_header, config.retry_header}
+        return frozenset(names | self._former_headers.names())
+
     def _keep_former_headers(self, headers: FilingHeaders, settings: AdmissionSettings) -> None:
         """Keeps the headers in force if others replace them, while filings read by them may be repeated."""
         former = FilingHeaders.of(self.compiled_config.config)
--- /dev/null
+++ b/tests/net/test_many_clients.py
@@ -0,0 +1,127 @@
+"""Hundreds of clients at once: the process stays within its memory, and others are answered in time."""
+
+import itertools
+import string
+import struct
+import threading
+import time
+from pathlib import Path
+
+from tests.stand_ins.ajp_client import AjpClient
+from tests.stand_ins.ajp_packets import CONTENT_LENGTH_HEADER, TO_SERVER, encode_packet, encode_text
+from tests.stand_ins.ajp_server import InstantServer
+from tests.stand_ins.thrift_router import ThriftRouter
+from tests.support.worker_cases import WorkerTestCase
+
+CLIENTS = 400
+MEMORY_MB = 48  # the limit of the process
+ANSWER_LIMIT_S = 1.8  # the latency objective of deploy/ajp.toml
+ATTACK_S = 2.0  # beyond which nothing is held any more for clients that have stopped
+PACKET_BYTES = 65_536
+LARGE_BODY_BYTES = 1 << 20
+MAX_FIELDS = 256  # headers that an AJP request may have
+SHORT_NAMES = [
+    "".join(letters).encode()
+    for size in (1, 2, 3)
+    for letters in itertools.product(string.ascii_lowercase, repeat=size)
+]
+
+
+def head_of_short_fields(size: int, count: int = len(SHORT_NAMES)) -> bytes:
+    """Returns a Forward Request of so many bytes at most, full of short headers, that announces a body."""
+    head = bytes((2, 4)) + b"".join(encode_text(t) for t in ("HTTP/1.1", "/reads/1", "127.0.0.1", "c", "s"))
+    head += struct.pack(">HB", 80, 0)
+    room = size - len(head) - 20
+    fields = []
+    for name in SHORT_NAMES[: count - 1]:
+        fields.append(encode_text(name) + encode_text(b""))
+        room -= len(fields[-1])
+        if room < 0:
+            break
+    fields.append(CONTENT_LENGTH_HEADER + encode_text(str(LARGE_BODY_BYTES)))
+    return head + struct.pack(">H", len(fields)) + b"".join(fields) + b"\xff"
+
+
+class ManyClientsTest(WorkerTestCase):
+    """Guards against a process that passes its memory limit, and against late answers to other clients."""
+
+    def setUp(self):
+        server = InstantServer()
+        self.addCleanup(server.close)
+        self.program = self.start(
+            ajp=True,
+            server=server,
+            sockets=4 * CLIENTS,
+            memory_mb=MEMORY_MB,
+            packet_size=PACKET_BYTES,
+            max_connections=2 * CLIENTS,
+        )
+        self.answer_times_s = []
+
+    def resident_mb(self):
+        """Returns the largest memory that the process had so far."""
+        status = Path(f"/proc/{self.program.process.pid}/status").read_text()
+        return int(status.split("VmHWM:")[1].split()[0]) / 1024
+
+    def ask(self):
+        """Times a new connection with one request at each front."""
+        for connect, call in ((AjpClient, AjpClient.call), (ThriftRouter, ThriftRouter.ping)):
+            front = "AjpFront" if connect is AjpClient else "ThriftFront"
+            started_s = time.monotonic()
+            client = connect(self.program.addresses[front])
+            call(client)
+            client.sock.close()
+            self.answer_times_s.append(time.monotonic() - started_s)
+
+    def play(self, front, send):
+        """Connects many clients, of which each sends something, and asks for answers meanwhile."""
+        connect = AjpClient if front == "AjpFront" else ThriftRouter
+        clients = [connect(self.program.addresses[front]) for _ in range(CLIENTS)]
+        stopped = threading.Event()
+
+        def ask_often():
+            while not stopped.wait(0.02):
+                self.ask()
+
+        asking = threading.Thread(target=ask_often)
+        asking.start()
+        for client in clients:
+            try:
+                send(client)
+            except OSError:  # its connection was closed
+                continue
+        time.sleep(ATTACK_S)
+        stopped.set()
+        asking.join()
+        self.ask()
+        for client in clients:
+            client.sock.close()
+        self.assertLess(self.resident_mb(), MEMORY_MB)
+        self.assertLess(max(self.answer_times_s), ANSWER_LIMIT_S)
+        self.assertIsNone(self.program.process.poll())
+
+    def test_ajp_requests_that_stop_in_the_middle_of_a_large_body(self):
+        def send(client):
+            client.forward("POST", "/reads/1", length=LARGE_BODY_BYTES)
+            client.chunk(bytes(8186))
+
+        self.play("AjpFront", send)
+
+    def test_ajp_heads_of_as_many_fields_as_are_read(self):
+        packet = encode_packet(TO_SERVER, head_of_short_fields(PACKET_BYTES - 4, MAX_FIELDS))
+        self.play("AjpFront", lambda client: client.sock.sendall(packet))
+
+
+class FieldCountTest(WorkerTestCase):
+    """AJP requests with many header fields."""
+
+    def test_a_request_with_too_many_fields_is_answered_431_and_its_connection_ends(self):
+        program = self.start(thrift=False, ajp=True)
+        for count, status in ((MAX_FIELDS, 200), (MAX_FIELDS + 1, 431)):
+            client = program.ajp_client()
+            client.request(headers={f"x{number}": "" for number in range(count)})
+            if status == 200:
+                program.server.next_request().respond()
+            self.assertEqual(client.answer()[0], status)
+            self.assertIs(client.reuse, status == 200)
+        self.assertTrue(program.server.received.empty())
--- a/tests/support/worker_process.py
+++ b/tests/support/worker_process.py
@@ -67,6 +67,7 @@
         site: dict[str, Any] | None = None,
         stop_ms: int = 2500,
         sockets: int = 256,
+        memory_mb: int = 64,
         secret: str | None = None,
         fault: str | None = None,
         stall_log: bool = False,
@@ -97,6 +98,7 @@
             site: settings of the site; `site_settings()` where none are given.
             stop_ms: how long it may take to end after its notice.
             sockets: its limit of connections.
+            memory_mb: its limit of memory.
             secret: the secret of its AJP front.
             fault: Python source, run at the start of the interpreter, before the program itself.
             stall_log: whether nobody reads its log once it has started.
@@ -126,7 +128,7 @@
         self.kernel.boots, self._given = boot, (kernel, server, members)
         self.env = self._environment()
         site = site or site_settings()
-        limits = {"memory_mb": 64, "sockets": sockets}
+        limits = {"memory_mb": memory_mb, "sockets": sockets}
         common = {"name": name, "stop_ms": stop_ms, "limits": limits, "admin": "127.0.0.1:0"}
         if ajp:
             tables = {
