Input of incomplete messages has a limit over all connections of a front

Cause: each connection may hold a packet, and nothing counted the sum; nor were the heads of requests counted whose body was still to come. The memory grew with clients times bytes sent.

InputMemory keeps the sum for each front; beyond 8% of the memory it closes the connections whose message began first and is not complete. A head counts with its body's memory.

--- a/ochrehoist/app/resource_limits.py
+++ b/ochrehoist/app/resource_limits.py
@@ -9,6 +9,7 @@
 
 RESULT_MEMORY_FRACTION = 0.15  # of the process memory, for stored results of filings
 BODY_MEMORY_FRACTION = 0.12  # for incoming AJP bodies, responses being read and unsent responses
+INPUT_MEMORY_FRACTION = 0.08  # for each front: what has arrived of messages that are not complete
 UNSENT_MEMORY_FRACTION = 0.06  # for responses that routers have not read yet
 BYTES_PER_MB = 1e6
 RESERVED_DESCRIPTORS = 24  # for everything other than accepted connections
--- a/ochrehoist/app/worker_parts.py
+++ b/ochrehoist/app/worker_parts.py
@@ -21,6 +21,7 @@
 from ochrehoist.app.resource_limits import (
     BODY_MEMORY_FRACTION,
     BYTES_PER_MB,
+    INPUT_MEMORY_FRACTION,
     RESULT_MEMORY_FRACTION,
     UNSENT_MEMORY_FRACTION,
     ConnectionLimits,
@@ -163,6 +164,7 @@
             ajp,
             limits.ajp,
             body_bytes,
+            memory_bytes(self.config.memory_mb, INPUT_MEMORY_FRACTION),
             self.log,
             self.inherited.get(ajp.listen),
             self._admission_filter,
@@ -202,6 +204,7 @@
             config.listen,
             limits.thrift,
             memory_bytes(config.memory_mb, UNSENT_MEMORY_FRACTION),
+            memory_bytes(config.memory_mb, INPUT_MEMORY_FRACTION),
             self.log,
             sock,
             self._admission_filter,
--- a/ochrehoist/net/ajp_body.py
+++ b/ochrehoist/net/ajp_body.py
@@ -29,7 +29,7 @@
     """Reads the bodies of the requests on one connection, one after the other.
 
     Attributes:
-        reserved_bytes: Memory reserved for the body of the current request.
+        reserved_bytes: Memory reserved for the current request, while its body is being read.
     """
 
     __slots__ = ("_front", "_stream", "reserved_bytes")
@@ -48,7 +48,8 @@
             StreamTimeoutError: The body did not arrive by the deadline.
             RequestRejectedError: The body is too large, or there is no memory for it.
         """
-        self._reserve(forward.length)
+        head_bytes = len(forward.packet)
+        self._reserve(head_bytes + forward.length)
         # The caller does not wait for a response beyond the request's deadline.
         deadline_s = time.monotonic() + request_class.deadline_ns / NS_PER_S
         config = self._front.config
@@ -70,7 +71,7 @@
                 raise ajp.MalformedPacketError(ajp.PacketFault.BODY_TOO_LONG)
             if len(body) > config.max_body:
                 raise RequestRejectedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
-            self._reserve(max(forward.length, len(body)))
+            self._reserve(head_bytes + max(forward.length, len(body)))
         return bytes(body)
 
     def skip(self, forward: ajp.ForwardRequest) -> None:
@@ -104,7 +105,7 @@
         )
 
     def _reserve(self, size: int) -> None:
-        """Reserves memory for the current body; rejects the request if all bodies exceed the shared limit."""
+        """Reserves memory for the current request; rejects it if all of them exceed the shared limit."""
         if self._front.body_bytes - self.reserved_bytes + size > self._front.max_bytes:
             raise RequestRejectedError(HTTPStatus.SERVICE_UNAVAILABLE, "no memory for its body, never run")
         self._set_reserved_bytes(size)
--- a/ochrehoist/net/ajp_front.py
+++ b/ochrehoist/net/ajp_front.py
@@ -57,6 +57,7 @@
         config: AjpConfig,
         max_connections: int,
         max_bytes: int,
+        max_input_bytes: int,
         log: Logger,
         sock: socket.socket | None = None,
         admission_filter: AdmissionFilter | None = None,
@@ -70,6 +71,7 @@
             config: Address, routes, limits and time-outs.
             max_connections: Maximum number of open connections.
             max_bytes: Memory limit of all incoming request bodies, and likewise of all unsent responses.
+            max_input_bytes: Memory limit of the packets that have not arrived completely.
             log: The log of the worker.
             sock: A socket that is listening already.
             admission_filter: Sheds load before a request reaches the core.
@@ -83,6 +85,7 @@
             core,
             config.listen,
             max_connections,
+            max_input_bytes,
             log,
             sock,
             admission_filter,
@@ -115,7 +118,8 @@
 
     # ---- connections
     def _open_connection(self, sock: socket.socket) -> tuple[AjpConnection, Callable[[], None]]:
-        stream = Stream(self.loop, sock, self.config.max_response * 2 + UNSENT_ALLOWANCE_BYTES)
+        max_unsent_bytes = self.config.max_response * 2 + UNSENT_ALLOWANCE_BYTES
+        stream = Stream(self.loop, sock, max_unsent_bytes, input_memory=self.input_memory)
         connection = AjpConnection(self, self.loop, stream, next(self._connection_ids))
         return connection, connection.run
 
--- a/ochrehoist/net/front.py
+++ b/ochrehoist/net/front.py
@@ -11,6 +11,7 @@
 
 from ochrehoist.core.actor import CoreActor
 from ochrehoist.core.request import InboundRequest
+from ochrehoist.net.input_memory import InputMemory
 from ochrehoist.net.listener import Acceptor, RequestPacer, evict_lowest_ranked
 from ochrehoist.net.loop import Loop
 from ochrehoist.net.stream import Stream
@@ -29,7 +30,7 @@
 ReadRequest = Callable[..., InboundRequest]
 
 
-class FrontConnection:
+class FrontConnection(ABC):
     """A client connection of a front; the base class of the protocols' connections.
 
     Times are of time.monotonic().
@@ -50,6 +51,10 @@
         self.served = False
         self.pacer = RequestPacer(loop)
 
+    @abstractmethod
+    def has_complete_message(self) -> bool:
+        """Returns whether the next message is completely buffered."""
+
 
 ConnectionT = TypeVar("ConnectionT", bound=FrontConnection)
 
@@ -77,6 +82,7 @@
         admission_filter: Sheds load before a request reaches the core; None without overload control.
         read_request: Builds the core's request from a parsed message.
         acceptor: Accepts connections on the listening socket.
+        input_memory: Limits what connections hold of messages that are not handled yet.
     """
 
     LISTENER_NAME: str
@@ -87,6 +93,7 @@
         core: CoreActor,
         address: tuple[str, int],
         max_connections: int,
+        max_input_bytes: int,
         log: Logger,
         sock: socket.socket | None,
         admission_filter: AdmissionFilter | None,
@@ -100,6 +107,7 @@
         self.draining = False
         self.admission_filter = admission_filter
         self.read_request = read_request
+        self.input_memory = InputMemory(max_input_bytes, self._incomplete_streams)
         self._connection_ids = itertools.count(1)
         self.acceptor = Acceptor(loop, address, self._accept, max_connections, log, sock, self._evict)
 
@@ -125,6 +133,10 @@
         return sum(len(connection.stream.unsent) for connection in self.connections)
 
     # ---- connections
+    def _incomplete_streams(self) -> list[Stream]:
+        """Returns the streams that hold a part of a message, but no complete one."""
+        return [c.stream for c in self.connections if c.stream.buffer and not c.has_complete_message()]
+
     @abstractmethod
     def _open_connection(self, sock: socket.socket) -> tuple[ConnectionT, Callable[[], None]]:
         """Returns a new connection, and the function that its task runs."""
--- a/ochrehoist/net/membership_heartbeat.py
+++ b/ochrehoist/net/membership_heartbeat.py
@@ -256,7 +256,7 @@
         response = parse_response(stream.buffer)
         if response is None:
             return None
-        del stream.buffer[: response.size_bytes]
+        stream.consume(response.size_bytes)
         if not response.keeps_alive:
             self._close()
         return response.status
--- a/ochrehoist/net/stream.py
+++ b/ochrehoist/net/stream.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from ochrehoist.errors import OchrehoistError
+from ochrehoist.net.input_memory import InputMemory
 from ochrehoist.net.loop import Loop, Signal, Timer
 
 READ_SIZE_BYTES = 16384  # small, since hundreds of connections may each hold unprocessed input
@@ -44,6 +45,7 @@
         closed: Whether the socket is closed.
         half_closed: Whether all output is sent and the sending side is shut down.
         received_at_s: When input last arrived; initially when the stream was opened.
+        input_since_s: Since when `buffer` has not been empty; meaningless while it is empty.
         activity: Is set when input arrives or the stream ends.
         awaits_input: Whether the loop watches the socket for input.
     """
@@ -51,6 +53,7 @@
     __slots__ = (
         "_discarded_bytes",
         "_discarding",
+        "_input_memory",
         "_linger_timer",
         "_loop",
         "_max_unsent_bytes",
@@ -63,6 +66,7 @@
         "ended",
         "fd",
         "half_closed",
+        "input_since_s",
         "received_at_s",
         "sock",
         "unsent",
@@ -74,6 +78,7 @@
         sock: socket.socket,
         max_unsent_bytes: int = MAX_UNSENT_BYTES,
         activity: Signal | None = None,
+        input_memory: InputMemory | None = None,
     ) -> None:
         sock.setblocking(False)
         if sock.family != socket.AF_UNIX:
@@ -86,9 +91,10 @@
         self.closing = False
         self.closed = False
         self.half_closed = False
-        self.received_at_s = time.monotonic()
+        self.received_at_s = self.input_since_s = time.monotonic()
         self.activity = Signal(loop) if activity is None else activity
         self.awaits_input = False
+        self._input_memory = input_memory
         self._loop = loop
         self._max_unsent_bytes = max_unsent_bytes
         self._discarding = False
@@ -159,10 +165,14 @@
         # Only one read per wait, so that a fast sender fills the socket's own buffer rather than `buffer`.
         self.awaits_input = False
         self._loop.on_readable(self.fd, None)
+        self.received_at_s = time.monotonic()
+        if not self.buffer:
+            self.input_since_s = self.received_at_s
         self.buffer += data
         self.ended = not data
-        self.received_at_s = time.monotonic()
         self.activity.set()
+        if self._input_memory is not None:
+            self._input_memory.received(len(data))
 
     def read_available(self) -> bool:
         """Reads input that the loop has not handled yet, without waiting; returns whether there was any."""
@@ -176,9 +186,16 @@
         while len(self.buffer) < count:
             self.read_more(deadline_s)
         data = bytes(self.buffer[:count])
-        del self.buffer[:count]
+        self.consume(count)
         return data
 
+    def consume(self, count: int) -> None:
+        """Removes the first `count` bytes of `buffer`, which have been handled."""
+        del self.buffer[:count]
+        self.input_since_s = self.received_at_s
+        if self._input_memory is not None:
+            self._input_memory.released(count)
+
     def read_line(self, max_bytes: int, deadline_s: float | None = None) -> bytes:
         """Returns the next line without its line ending.
 
@@ -193,7 +210,7 @@
                 raise ConnectionClosedError
             self.read_more(deadline_s)
         line = bytes(self.buffer[:end])
-        del self.buffer[: end + 1]
+        self.consume(end + 1)
         return line.rstrip(b"\r")
 
     # ---- writing
@@ -240,7 +257,7 @@
             return
         ended_before = self.ended
         self._discarding = self.ended = True
-        self.buffer.clear()
+        self.consume(len(self.buffer))
         self.activity.set()
         if not ended_before:
             self._loop.on_readable(self.fd, self._discard_available)
@@ -290,6 +307,9 @@
             self._linger_timer.cancel()
         self._loop.unwatch(self.fd)
         self.sock.close()
+        if self._input_memory is not None:  # a reader may still handle the rest
+            self._input_memory.released(len(self.buffer))
+            self._input_memory = None
         self.activity.set()
         if self._on_close is not None:
             self._on_close()
--- a/ochrehoist/net/thrift_connection.py
+++ b/ochrehoist/net/thrift_connection.py
@@ -150,8 +150,8 @@
             self.stream.close()
             raise
 
-    def has_complete_frame(self) -> bool:
-        """Returns whether the next frame is completely buffered."""
+    def has_complete_message(self) -> bool:
+        """See FrontConnection; messages are frames here."""
         buffer = self.stream.buffer
         size = int.from_bytes(buffer[:FRAME_HEADER_BYTES], "big")
         return len(buffer) >= FRAME_HEADER_BYTES + size
@@ -185,7 +185,7 @@
         end = FRAME_HEADER_BYTES + size
         if end <= len(buffer) and size <= MAX_FRAME_BYTES:
             frame = bytes(buffer[FRAME_HEADER_BYTES:end])
-            del buffer[:end]
+            self.stream.consume(end)
             return frame
         # The time-out of a connection's first frame counts from when the connection was accepted.
         started_s = time.monotonic() if self.has_sent_request else self.accepted_at_s
@@ -298,7 +298,7 @@
     # ---- writing
     def _send_rejections_if_due(self) -> None:
         """Sends the batch of rejections once no complete frame is buffered, or the batch is full."""
-        if not self.has_complete_frame() or len(self._rejections) >= MAX_REJECTION_BATCH_BYTES:
+        if not self.has_complete_message() or len(self._rejections) >= MAX_REJECTION_BATCH_BYTES:
             self._send_rejections()
 
     def _send_rejections(self) -> None:
--- a/ochrehoist/net/thrift_front.py
+++ b/ochrehoist/net/thrift_front.py
@@ -77,6 +77,7 @@
         address: tuple[str, int],
         max_connections: int,
         max_unsent_bytes: int,
+        max_input_bytes: int,
         log: Logger,
         sock: socket.socket | None = None,
         admission_filter: AdmissionFilter | None = None,
@@ -90,6 +91,7 @@
             address: Host and port to listen on.
             max_connections: Maximum number of open connections.
             max_unsent_bytes: Memory limit of all replies that routers have not received yet.
+            max_input_bytes: Memory limit of the calls that have not arrived completely.
             log: The log of the worker.
             sock: A socket that is listening already.
             admission_filter: Sheds load before a request reaches the core.
@@ -99,7 +101,15 @@
         """
         self._reader = ThriftReader(core, executor)
         super().__init__(
-            loop, core, address, max_connections, log, sock, admission_filter, self._reader.read_request
+            loop,
+            core,
+            address,
+            max_connections,
+            max_input_bytes,
+            log,
+            sock,
+            admission_filter,
+            self._reader.read_request,
         )
         self.class_names: dict[bytes, str] = {}
         self.configure(core.settings)
@@ -134,7 +144,7 @@
     # ---- connections
     def _open_connection(self, sock: socket.socket) -> tuple[ThriftConnection, Callable[[], None]]:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_SEND_BUFFER_BYTES)
-        stream = Stream(self.loop, sock)
+        stream = Stream(self.loop, sock, input_memory=self.input_memory)
         connection = ThriftConnection(self, self.loop, stream, next(self._connection_ids))
         return connection, connection.run
 
@@ -168,7 +178,7 @@
         if connection.open_requests or now_s - connection.accepted_at_s <= EVICTABLE_AFTER_ACCEPT_S:
             return False
         # A received request protects its connection, unless the connection exceeds its request rate.
-        if connection.has_complete_frame() and not connection.pacer.exceeded:
+        if connection.has_complete_message() and not connection.pacer.exceeded:
             return False
         # The first request of a newly accepted connection may have arrived, but not been read yet.
         return bool(stream.awaits_input or stream.buffer or stream.ended)
@@ -189,7 +199,7 @@
         stream = connection.stream
         if connection.open_requests or connection.reading_stopped or stream.closing or stream.closed:
             return True
-        return bool(stream.buffer) and connection.has_complete_frame()
+        return bool(stream.buffer) and connection.has_complete_message()
 
     def _end_if_idle(self, connection: ThriftConnection, now_s: float, ends_early: bool) -> None:
         stream = connection.stream
--- a/tests/net/test_many_clients.py
+++ b/tests/net/test_many_clients.py
@@ -11,6 +11,7 @@
 from tests.stand_ins.ajp_packets import CONTENT_LENGTH_HEADER, TO_SERVER, encode_packet, encode_text
 from tests.stand_ins.ajp_server import InstantServer
 from tests.stand_ins.thrift_router import ThriftRouter
+from tests.stand_ins.thrift_router import encode_text as encode_thrift_text
 from tests.support.worker_cases import WorkerTestCase
 
 CLIENTS = 400
@@ -20,6 +21,7 @@
 PACKET_BYTES = 65_536
 LARGE_BODY_BYTES = 1 << 20
 MAX_FIELDS = 256  # headers that an AJP request may have
+FRAME_BYTES = 16 * 1024
 SHORT_NAMES = [
     "".join(letters).encode()
     for size in (1, 2, 3)
@@ -42,6 +44,20 @@
     return head + struct.pack(">H", len(fields)) + b"".join(fields) + b"\xff"
 
 
+def frame_of_short_fields() -> bytes:
+    """Returns the arguments of an `invoke` call whose map nearly fills a frame."""
+    names = SHORT_NAMES[:1000]
+    entries = b"".join(encode_thrift_text(name) + encode_thrift_text(b"") for name in names)
+    return (
+        b"\x0d\0\1\x0b\x0b"
+        + struct.pack(">i", len(names))
+        + entries
+        + b"\x0b\0\2"
+        + encode_thrift_text(b"")
+        + b"\0"
+    )
+
+
 class ManyClientsTest(WorkerTestCase):
     """Guards against a process that passes its memory limit, and against late answers to other clients."""
 
@@ -100,6 +116,10 @@
         self.assertLess(max(self.answer_times_s), ANSWER_LIMIT_S)
         self.assertIsNone(self.program.process.poll())
 
+    def test_ajp_requests_that_stop_in_the_middle_of_a_large_head(self):
+        packet = encode_packet(TO_SERVER, bytes(PACKET_BYTES - 4))[:-1]
+        self.play("AjpFront", lambda client: client.sock.sendall(packet))
+
     def test_ajp_requests_that_stop_in_the_middle_of_a_large_body(self):
         def send(client):
             client.forward("POST", "/reads/1", length=LARGE_BODY_BYTES)
@@ -107,10 +127,36 @@
 
         self.play("AjpFront", send)
 
+    def test_ajp_heads_of_very_many_short_fields_that_wait_for_their_body(self):
+        packet = encode_packet(TO_SERVER, head_of_short_fields(PACKET_BYTES - 4))
+        self.play("AjpFront", lambda client: client.sock.sendall(packet))
+
     def test_ajp_heads_of_as_many_fields_as_are_read(self):
         packet = encode_packet(TO_SERVER, head_of_short_fields(PACKET_BYTES - 4, MAX_FIELDS))
         self.play("AjpFront", lambda client: client.sock.sendall(packet))
 
+    def test_ajp_heads_written_slowly(self):
+        packet = encode_packet(TO_SERVER, bytes(PACKET_BYTES - 4))
+
+        def send(client):
+            client.sock.sendall(packet[: PACKET_BYTES // 2])
+            client.sock.sendall(packet[PACKET_BYTES // 2 : -1])
+
+        self.play("AjpFront", send)
+
+    def test_thrift_calls_that_stop_in_the_middle_of_a_large_frame(self):
+        frame = struct.pack(">I", FRAME_BYTES) + b"\x80\x01\0\1" + bytes(FRAME_BYTES - 5)
+        self.play("ThriftFront", lambda client: client.sock.sendall(frame))
+
+    def test_thrift_calls_of_very_many_short_fields(self):
+        args = frame_of_short_fields()
+
+        def send(client):
+            for _ in range(20):
+                client.send("invoke", args)
+
+        self.play("ThriftFront", send)
+
 
 class FieldCountTest(WorkerTestCase):
     """AJP requests with many header fields."""
--- a/tests/net/test_route_index.py
+++ b/tests/net/test_route_index.py
@@ -217,6 +217,7 @@
             routes=table,
             tenant_header=b"t",
             key_header=b"k",
+            retry_header=b"r",
             default_tenant=None,
         ),
     )
