Connections take turns for their messages, and a Thrift call has 256 fields at most

Cause: a connection's task handled all its buffered messages before others ran, and all connections did so in one iteration of the loop; such a call took 0.8 ms. The pace of 100 requests a second is one connection's.

Loop.take_turn before each message: after 5 ms of an iteration the rest wait for the next, in their order. A call of more than 256 fields gets an application exception unparsed; AJP headers are parsed in one loop.

--- a/ochrehoist/net/ajp.py
+++ b/ochrehoist/net/ajp.py
@@ -91,6 +91,7 @@
 ATTRIBUTES_END = 0xFF
 NULL_STRING_LENGTH = 0xFFFF  # length field of an absent string
 CODED_HEADER_PREFIX = 0xA0  # high byte of a header code
+CODED_HEADER_BYTE = bytes((CODED_HEADER_PREFIX,))
 MAX_CONTENT_LENGTH_DIGITS = 15
 MAX_FIELDS = 256  # headers, and likewise attributes; web servers pass on about 100 headers at most
 
@@ -179,19 +180,6 @@
             raise MalformedPacketError(PacketFault.UNTERMINATED_STRING)
         return data[:-1]
 
-    def read_header(self) -> tuple[bytes, bytes]:
-        """Reads a request header; returns its name, in lower case, and its value."""
-        size = self.read_u16()
-        if size >> 8 == CODED_HEADER_PREFIX:
-            code = size & 0xFF
-            if not 0 < code < len(REQUEST_HEADERS):
-                raise MalformedPacketError(PacketFault.UNKNOWN_HEADER_CODE, code)
-            name = REQUEST_HEADERS[code]
-        else:
-            self.position -= 2
-            name = (self.read_string() or b"").lower()
-        return name, self.read_string() or b""
-
 
 # ---- requests
 
@@ -278,12 +266,41 @@
     count = reader.read_u16()
     if count > MAX_FIELDS:
         raise TooManyFieldsError(count)
+    data = reader.data
+    position = reader.position
     for _ in range(count):
-        name, value = reader.read_header()
-        if header_names is not None and name not in header_names and name not in LENGTH_NAMES:
-            continue
-        if forward.headers.setdefault(name, value) != value and name == CONTENT_LENGTH_NAME:
-            raise MalformedPacketError(PacketFault.CONFLICTING_LENGTHS)
+        if data[position : position + 1] == CODED_HEADER_BYTE:
+            code = data[position + 1] if position + 1 < len(data) else 0
+            if not 0 < code < len(REQUEST_HEADERS):
+                raise MalformedPacketError(PacketFault.UNKNOWN_HEADER_CODE, code)
+            name = REQUEST_HEADERS[code]
+            position += 2
+        else:
+            name_end = _end_of_string(data, position)
+            name = data[position + 2 : name_end - 1].lower()
+            position = name_end
+        value_end = _end_of_string(data, position)
+        if header_names is None or name in header_names or name in LENGTH_NAMES:
+            value = data[position + 2 : value_end - 1]
+            if forward.headers.setdefault(name, value) != value and name == CONTENT_LENGTH_NAME:
+                raise MalformedPacketError(PacketFault.CONFLICTING_LENGTHS)
+        position = value_end
+    reader.position = position
+
+
+def _end_of_string(data: bytes, position: int) -> int:
+    """Returns the position behind the string at `position`; an absent string has only its length."""
+    if position + 2 > len(data):
+        raise MalformedPacketError(PacketFault.LENGTH_BEYOND_PACKET)
+    size: int = _U16.unpack_from(data, position)[0]
+    if size == NULL_STRING_LENGTH:
+        return position + 2
+    end = position + size + 3
+    if end > len(data):
+        raise MalformedPacketError(PacketFault.LENGTH_BEYOND_PACKET)
+    if data[end - 1]:
+        raise MalformedPacketError(PacketFault.UNTERMINATED_STRING)
+    return end
 
 
 def _read_attributes(reader: PacketReader, forward: ForwardRequest, method_code: int) -> None:
--- a/ochrehoist/net/ajp_connection.py
+++ b/ochrehoist/net/ajp_connection.py
@@ -42,7 +42,7 @@
     """The connection of a web server to the AJP front.
 
     Attributes:
-        busy: Whether a request is being read or answered.
+        busy: Whether a packet waits to be handled, or a request is being read or answered.
         has_sent_packet: Whether a complete packet was read.
     """
 
@@ -71,7 +71,10 @@
         try:
             while not self.stream.closing:
                 packet = self._read_packet()
-                if not self._handle_packet(packet, time.time_ns()):
+                arrived_ns = time.time_ns()
+                self.busy = True
+                self._loop.take_turn()
+                if not self._handle_packet(packet, arrived_ns):
                     break
         except (ConnectionClosedError, StreamTimeoutError):
             pass
@@ -128,9 +131,7 @@
             self.pacer.request_read()
         kind = packet[0] if packet else 0
         if kind == ajp.FORWARD:
-            self.busy = True
             self._handle_forward(packet, arrived_ns)
-            self.busy = False
             self._bodies.release()
             self.last_used_at_s = time.monotonic()
         elif kind == ajp.CPING:
@@ -139,6 +140,7 @@
             self.stream.write(ajp.PONG_PACKET)
         elif kind not in (ajp.SHUTDOWN, ajp.PING):  # not supported, and ignored
             raise ajp.MalformedPacketError(ajp.PacketFault.UNEXPECTED_PACKET, kind)
+        self.busy = False
         return True
 
     # ---- requests
--- a/ochrehoist/net/front.py
+++ b/ochrehoist/net/front.py
@@ -50,6 +50,7 @@
         self.accepted_at_s = self.last_used_at_s = time.monotonic()
         self.served = False
         self.pacer = RequestPacer(loop)
+        self._loop = loop
 
     @abstractmethod
     def has_complete_message(self) -> bool:
--- a/ochrehoist/net/loop.py
+++ b/ochrehoist/net/loop.py
@@ -22,6 +22,7 @@
     from ochrehoist.core.protocols import Logger
 
 
+MAX_TURNS_S = 0.005  # in one iteration; the tasks that take turns then wait for the next one
 MAX_POLL_OVERRUN_S = 0.005  # a poll that outlasts its timeout by more was suspended, as by SIGSTOP
 MS_PER_S = 1000
 POLL_ROUND_UP_MS = 0.999
@@ -89,6 +90,8 @@
         # polled for them are ignored.
         self._closed_fds: set[int] = set()
         self._signal_handlers: dict[int, Callable[[], object]] = {}
+        self._turns_began_s = time.monotonic()
+        self._turns_taken = 0  # in this iteration
         self._iteration_observer: Callable[[float, float], None] | None = None
 
     # ---- tasks
@@ -111,6 +114,18 @@
         self.call_later(duration_s, getcurrent().switch)
         self._hub.switch()
 
+    def take_turn(self) -> None:
+        """Suspends the current task while this iteration has taken MAX_TURNS_S already.
+
+        Called before each message of a client, it bounds by how much many clients delay everything else:
+        timers, I/O and other tasks get their share after MAX_TURNS_S and the message that was begun. Tasks
+        that wait for their turn are resumed in the order in which they came, at least one in each iteration.
+        """
+        while self._turns_taken and time.monotonic() - self._turns_began_s > MAX_TURNS_S:
+            self._ready.append(getcurrent().switch)
+            self._hub.switch()
+        self._turns_taken += 1
+
     def call_later(self, delay_s: float, callback: Callable[[], object]) -> Timer:
         """Calls a function on the hub after a delay, unless its timer is cancelled. It must not wait."""
         timer = Timer(time.monotonic() + max(0.0, delay_s), callback)
@@ -200,6 +215,8 @@
         started_s = time.monotonic()
         timer_delay_s = 0.0
         while not self.stopped:
+            self._turns_began_s = time.monotonic()
+            self._turns_taken = 0
             for _ in range(len(ready)):
                 run_callback(ready.popleft())
             timeout_ms: float | None = None
--- a/ochrehoist/net/thrift.py
+++ b/ochrehoist/net/thrift.py
@@ -36,6 +36,7 @@
 UNKNOWN_METHOD = 1
 PROTOCOL_ERROR = 7
 MAX_DEPTH = 16
+MAX_MAP_ENTRIES = 256  # a call has about a dozen
 VERSION_MASK = 0xFFFF0000
 KIND_MASK = 0xFF
 WORD_MASK = 0xFFFFFFFF
@@ -153,7 +154,7 @@
         """Reads a map of strings to strings.
 
         The entries, about a dozen per request, are parsed inline rather than by `read_string`, to keep
-        requests that are rejected cheap.
+        requests that are rejected cheap. Raises InvalidArgumentsError for more than MAX_MAP_ENTRIES.
         """
         key_type = self.read_byte()
         value_type = self.read_byte()
@@ -162,6 +163,8 @@
             raise MalformedFrameError(FrameFault.COUNT_BEYOND_FRAME)
         if count and (key_type, value_type) != (STRING, STRING):
             raise MalformedFrameError(FrameFault.WRONG_MAP_TYPES)
+        if count > MAX_MAP_ENTRIES:
+            raise InvalidArgumentsError.in_argument("fields", "too many")
         data = self.data
         position = self.position
         end = len(data)
--- a/ochrehoist/net/thrift_connection.py
+++ b/ochrehoist/net/thrift_connection.py
@@ -135,6 +135,7 @@
                     self._send_rejections_if_due()
                 if not self.stream.buffer:
                     self.stream.read_more()  # no deadline: the front ends idle connections
+                self._loop.take_turn()
                 self._handle_frame(self._read_frame())
                 if not self.served:
                     self.pacer.request_read()
@@ -190,10 +191,12 @@
         # The time-out of a connection's first frame counts from when the connection was accepted.
         started_s = time.monotonic() if self.has_sent_request else self.accepted_at_s
         deadline_s = started_s + MESSAGE_ARRIVAL_TIMEOUT_S
-        size = int.from_bytes(self.stream.read_exactly(FRAME_HEADER_BYTES, deadline_s), "big")
+        self.stream.wait_for(FRAME_HEADER_BYTES, deadline_s)
+        size = int.from_bytes(buffer[:FRAME_HEADER_BYTES], "big")
         if size > MAX_FRAME_BYTES:
             raise thrift.MalformedFrameError(thrift.FrameFault.FRAME_TOO_LONG)
-        return self.stream.read_exactly(size, deadline_s)
+        # The header stays in the buffer until the frame is complete, which shows that it is not.
+        return self.stream.read_exactly(FRAME_HEADER_BYTES + size, deadline_s)[FRAME_HEADER_BYTES:]
 
     def _stop_reading(self) -> None:
         """Discards further input, and closes the connection once all open requests are answered."""
