AJP reads cost less: a request without a key takes the short way, packets are copied once

The headers are compiled with the configuration; requests without a key skip what only filings need; read_packet looks at the header in place.

--- a/ochrehoist/core/message_handlers.py
+++ b/ochrehoist/core/message_handlers.py
@@ -51,8 +51,7 @@
     of the arrival.
     """
     key = request.idempotency_key or request.unconfirmed_key
-    if key is None:
-        return
+    assert key is not None
     table = core.idempotency
     known_key = table.find_key(key, request.other_keys, request.fingerprint, request.arrived_ns)
     if known_key is None:
@@ -74,7 +73,8 @@
     # The arrival is Unix time, which may have been set since the process started, so only the age is used.
     # The age is not negative: an arrival in the future would extend the deadline and the window.
     request.arrived_ns = core.now_ns - max(0, core.wall_clock() - request.arrived_ns)
-    _find_known_key(core, request)
+    if request.idempotency_key is not None or request.unconfirmed_key is not None:
+        _find_known_key(core, request)
     for observer in core.responses.observers:
         core.faults.call("observer", observer.request_arrived, request)
     if arrival_checks.try_answer_on_arrival(core, request):
--- a/ochrehoist/net/ajp_exchange.py
+++ b/ochrehoist/net/ajp_exchange.py
@@ -16,13 +16,18 @@
         ConnectionClosedError: The connection has ended.
         StreamTimeoutError: The header or the payload did not arrive in time.
     """
-    stream.wait_for(ajp.HEADER_BYTES, time.monotonic() + timeout_s)
-    header = stream.buffer[: ajp.HEADER_BYTES]
-    end = ajp.HEADER_BYTES + int.from_bytes(header[2:], "big")
-    if header[:2] != magic or end > max_packet_bytes:
+    buffer = stream.buffer
+    if len(buffer) < ajp.HEADER_BYTES:
+        stream.wait_for(ajp.HEADER_BYTES, time.monotonic() + timeout_s)
+    end = ajp.HEADER_BYTES + (buffer[2] << 8 | buffer[3])
+    if not buffer.startswith(magic) or end > max_packet_bytes:
         raise ajp.MalformedPacketError(ajp.PacketFault.WRONG_PACKET)
     # The header stays in the buffer until the packet is complete, which shows that it is not.
-    return stream.read_exactly(end, time.monotonic() + timeout_s)[ajp.HEADER_BYTES :]
+    if len(buffer) < end:
+        stream.wait_for(end, time.monotonic() + timeout_s)
+    payload = bytes(buffer[ajp.HEADER_BYTES : end])
+    stream.consume(end)
+    return payload
 
 
 class ServerExchange:
--- a/ochrehoist/net/ajp_filing_headers.py
+++ b/ochrehoist/net/ajp_filing_headers.py
@@ -49,9 +49,9 @@
         """Returns the headers that a configuration names."""
         return cls(config.tenant_header, config.key_header, config.default_tenant)
 
-    def stated_tenant(self, forward: ajp.ForwardRequest) -> str | None:
+    def stated_tenant(self, forward: ajp.ForwardRequest) -> str:
         """Returns the tenant in the request's header; raises RequestRejectedError if it is not UTF-8."""
-        return _header_text(forward, self.tenant_header) or None
+        return _header_text(forward, self.tenant_header)
 
     def key(self, forward: ajp.ForwardRequest) -> str:
         """Returns the key in the request's header; raises RequestRejectedError if it is not UTF-8."""
@@ -80,6 +80,9 @@
     def __init__(self) -> None:
         self._expiry_ns: dict[FilingHeaders, int] = {}
 
+    def __bool__(self) -> bool:
+        return bool(self._expiry_ns)
+
     def add(self, headers: FilingHeaders, expires_ns: int) -> None:
         """Keeps headers that are not in force any more; of too many, those that expire first are dropped."""
         self._expiry_ns.pop(headers, None)
@@ -93,8 +96,6 @@
 
     def read(self, forward: ajp.ForwardRequest, core: CoreClock) -> list[StatedKey]:
         """Returns what the former headers state in a request, as far as they have not expired."""
-        if not self._expiry_ns:
-            return []
         now_ns = core.clock()
         self._expiry_ns = {
             headers: expires_ns for headers, expires_ns in self._expiry_ns.items() if expires_ns > now_ns
--- a/ochrehoist/net/ajp_reader.py
+++ b/ochrehoist/net/ajp_reader.py
@@ -32,13 +32,13 @@
     Attributes:
         request_class: The class of its route.
         tenant: The tenant, stated or by default.
-        key: The key under which a filing is known, or empty.
+        key: The key that the client chose, or empty.
         other_keys: What else the request states of its filing, by headers that may have been in force before.
     """
 
     request_class: RequestClass
     tenant: str | None
-    key: StatedKey
+    key: str
     other_keys: tuple[StatedKey, ...]
 
 
@@ -49,12 +49,14 @@
         config: The configuration.
         route_index: The index of its routes.
         classes: The request classes by name.
+        headers: The headers that state tenant and key.
         longest_secret_bytes: Maximum size of a server's secret attribute; 0 without secrets.
     """
 
     config: AjpConfig
     route_index: RouteIndex
     classes: Mapping[str, RequestClass]
+    headers: FilingHeaders
     longest_secret_bytes: int
 
 
@@ -99,7 +101,7 @@
 
     def _keep_former_headers(self, headers: FilingHeaders, settings: AdmissionSettings) -> None:
         """Keeps the headers in force if others replace them, while filings read by them may be repeated."""
-        former = FilingHeaders.of(self.compiled_config.config)
+        former = self.compiled_config.headers
         if former == headers:
             return
         classes = (*self.compiled_config.classes.values(), *settings.classes)
@@ -120,7 +122,7 @@
             len(server.secret.encode()) + SECRET_OVERHEAD_BYTES if server.secret else 0
             for server in config.servers
         )
-        return CompiledConfig(config, index, classes, max(secrets_bytes))
+        return CompiledConfig(config, index, classes, FilingHeaders.of(config), max(secrets_bytes))
 
     def configure(self, config: AjpConfig, settings: AdmissionSettings) -> None:
         """Prepares and applies a changed configuration in one step."""
@@ -157,13 +159,18 @@
             raise RequestRejectedError(
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "no room for the server's secret"
             )
-        headers = FilingHeaders.of(config)
+        headers = compiled_config.headers
         stated_tenant = headers.stated_tenant(forward)
         tenant = stated_tenant or config.default_tenant
         is_keyed = request_class.idempotency is Idempotency.KEYED
+        has_key = is_keyed or headers.key_header in forward.headers
+        if not (has_key or self._former_headers):
+            if self._is_unknown(tenant):
+                raise RequestRejectedError(HTTPStatus.BAD_REQUEST, "unknown tenant")
+            return CheckedRequest(request_class, tenant, "", ())
         key = headers.key(forward) if is_keyed else self._optional_key(headers, forward)
-        other_keys = self._former_headers.read(forward, self.core)
-        if stated_tenant is None and tenant is not None and key:  # the default may be new
+        other_keys = self._former_headers.read(forward, self.core) if self._former_headers else []
+        if not stated_tenant and tenant is not None and key:  # the default may be new
             other_keys.append(StatedKey(None, key))
         # A filing of a tenant that was removed may have run.
         if self._is_unknown(tenant) and not self._is_repeat(StatedKey(tenant, key), *other_keys):
@@ -172,13 +179,11 @@
             tenant, key = other_keys[0]
         if is_keyed and not 0 < len(key) <= MAX_IDEMPOTENCY_KEY_LENGTH:
             raise RequestRejectedError(HTTPStatus.BAD_REQUEST, "a filing needs a key")
-        return CheckedRequest(request_class, tenant, StatedKey(tenant, key), tuple(other_keys))
+        return CheckedRequest(request_class, tenant, key, tuple(other_keys))
 
     @staticmethod
     def _optional_key(headers: FilingHeaders, forward: ajp.ForwardRequest) -> str:
         """Returns the key of a request whose class has no keys; it is empty if it cannot be one."""
-        if headers.key_header not in forward.headers:
-            return ""
         stated = headers.read(forward)
         return stated.key if stated is not None and len(stated.key) <= MAX_IDEMPOTENCY_KEY_LENGTH else ""
 
@@ -206,8 +211,8 @@
         is_keyed = request_class.idempotency is Idempotency.KEYED
         key = fingerprint = None
         other_keys: tuple[IdempotencyKey, ...] = ()
-        if checked.key.key:
-            key = _full_key(checked.key, request_class)
+        if checked.key:
+            key = (checked.tenant, request_class.name, checked.key)
             other_keys = tuple(_full_key(other, request_class) for other in checked.other_keys)
             fingerprint = (
                 sha256(f"{forward.method} ".encode() + forward.uri).digest(),
