Requests of clients that left before they were read are not run

Cause: a connection's end is behind its data, and the fronts learned of it only after handling all of that. Over AJP a request was also sent to its server after its client had left while the server's CPong was awaited.

Before a request goes to the core the front asks for POLLRDHUP, which is known ahead of unread data. A run without a key whose caller was answered or has left is not sent once its server is ready; it ends as not started, and doesn't count against the server.

--- a/ochrehoist/net/ajp_connection.py
+++ b/ochrehoist/net/ajp_connection.py
@@ -174,6 +174,8 @@
             class_name = checked.request_class.name if checked else error.class_name
             self._reject(forward, error, class_name, responder)
             return
+        if self.stream.peer_has_left():
+            raise ConnectionClosedError  # nobody waits for the answer
         request = self._front.read_request(forward, checked, body, arrived_ns, responder)
         self._front.core.post(RequestArrived(request))
         self._await_answer(request, responder)
--- a/ochrehoist/net/ajp_server.py
+++ b/ochrehoist/net/ajp_server.py
@@ -230,6 +230,10 @@
             if stream is None:
                 pool.unreachable_at_s = time.monotonic()
                 return None
+            if request.answered and request.idempotency_key is None:
+                # The caller left meanwhile. Other attempts of a filing may wait for its run.
+                self._release(pool, stream, True)
+                return RunResult(Outcome.NOT_STARTED, success=False)
             timeout_s = pool.server.reply_timeout_ms / MS_PER_S
             if advisor is not None:
                 timeout_s = min(timeout_s, advisor.max_call_s(pool.server.name) or timeout_s)
@@ -301,5 +305,7 @@
 def _call_outcome(result: RunResult | None) -> CallOutcome:
     if result is None:
         return CallOutcome.UNREACHABLE
+    if result.outcome is Outcome.NOT_STARTED:  # the server was reachable, and nothing was sent to it
+        return CallOutcome.OK
     is_response = result.detail is not None and result.detail.status < FIRST_SERVER_ERROR
     return CallOutcome.OK if result.outcome is Outcome.OK or is_response else CallOutcome.FAILING
--- a/ochrehoist/net/stream.py
+++ b/ochrehoist/net/stream.py
@@ -6,6 +6,7 @@
 """
 
 import errno
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -115,6 +116,14 @@
             return ""
         return address
 
+    def peer_has_left(self) -> bool:
+        """Returns whether the peer has closed the connection, even if its last input is not read yet."""
+        if self.ended:
+            return True
+        poll = select.poll()
+        poll.register(self.fd, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     # ---- reading
     def read_more(self, deadline_s: float | None = None) -> None:
         """Waits until more bytes are in `buffer`.
--- a/ochrehoist/net/thrift_connection.py
+++ b/ochrehoist/net/thrift_connection.py
@@ -266,6 +266,8 @@
             raise thrift.TooManyRequestsError
         if front.admission_filter is not None and self._reject_early(sequence_id, values):
             return
+        if self.stream.peer_has_left():
+            raise ConnectionClosedError  # nobody waits for the answer to what it sent before
         request = front.read_request(values, body, ThriftResponder(self, sequence_id))
         self.only_pinged = False
         self.request_count += 1
