--- a/ochrehoist/net/listener.py
+++ b/ochrehoist/net/listener.py
@@ -23,6 +23,7 @@
 
 # The interval of retries while file descriptors are exhausted or no connection can be evicted.
 ACCEPT_RETRY_S = 0.05
+MAX_ACCEPTING_S = 0.005  # at one go; the rest is accepted in the next iteration of the loop
 RESOURCE_EXHAUSTION_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 ConnectionT = TypeVar("ConnectionT")
@@ -179,7 +180,11 @@
             self._loop.on_readable(self.sock.fileno(), self._accept_pending)
 
     def _accept_pending(self) -> None:
+        """Accepts what is pending, for MAX_ACCEPTING_S at most unless the socket is to be closed."""
+        started_s = time.monotonic()
         while not self._is_full() and not self.stopped:
+            if not self._stopping and time.monotonic() - started_s > MAX_ACCEPTING_S:
+                return  # the socket stays readable
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
