Connections closed for the memory of their input are logged in summary

The limit of incomplete messages closed connections without a word, so an operator could not tell it from a client's own close. The event input_memory_exceeded names the front and the number of connections closed, at most once a second.

tests/net/test_many_clients.py looks for the event; tests/repository: green.

--- a/ochrehoist/net/front.py
+++ b/ochrehoist/net/front.py
@@ -25,6 +25,7 @@
 SLOW_AFTER_ACCEPT_S = 0.2  # input that arrives later than this belongs to a slow first message
 EVICTABLE_AFTER_ACCEPT_S = 0.05  # a close before this would cross a first request that is on its way
 SILENT_AFTER_LAST_BYTE_S = 0.5  # for a connection without a message; initially from its acceptance
+EVICTION_LOG_INTERVAL_S = 1.0
 
 # Builds the core's request from a message that a front has parsed.
 ReadRequest = Callable[..., InboundRequest]
@@ -108,7 +109,9 @@
         self.draining = False
         self.admission_filter = admission_filter
         self.read_request = read_request
-        self.input_memory = InputMemory(max_input_bytes, self._incomplete_streams)
+        self.input_memory = InputMemory(max_input_bytes, self._incomplete_streams, self._input_evicted)
+        self._evicted_count = 0  # connections closed for their input, since the last line in the log
+        self._evicted_logged_at_s = 0.0
         self._connection_ids = itertools.count(1)
         self.acceptor = Acceptor(loop, address, self._accept, max_connections, log, sock, self._evict)
 
@@ -133,6 +136,16 @@
         """Returns the total size of the responses that the clients have not received yet."""
         return sum(len(connection.stream.unsent) for connection in self.connections)
 
+    def _input_evicted(self, count: int) -> None:
+        """Logs in summary that connections were closed because of their incomplete messages."""
+        self._evicted_count += count
+        now_s = time.monotonic()
+        if now_s - self._evicted_logged_at_s < EVICTION_LOG_INTERVAL_S:
+            return
+        self.log.warning("input_memory_exceeded", front=self.LISTENER_NAME, closed=self._evicted_count)
+        self._evicted_count = 0
+        self._evicted_logged_at_s = now_s
+
     # ---- connections
     def _incomplete_streams(self) -> list[Stream]:
         """Returns the streams that hold a part of a message, but no complete one."""
--- a/ochrehoist/net/input_memory.py
+++ b/ochrehoist/net/input_memory.py
@@ -30,11 +30,23 @@
         limit_bytes: Maximum of `held_bytes`, as far as incomplete messages are concerned.
     """
 
-    def __init__(self, limit_bytes: int, incomplete: Callable[[], Iterable[BufferingStream]]) -> None:
-        """Sets the limit; `incomplete` returns the streams that hold an incomplete message."""
+    def __init__(
+        self,
+        limit_bytes: int,
+        incomplete: Callable[[], Iterable[BufferingStream]],
+        on_evicted: Callable[[int], None],
+    ) -> None:
+        """Sets the limit.
+
+        Args:
+            limit_bytes: Maximum total size.
+            incomplete: Returns the streams that hold an incomplete message.
+            on_evicted: Called with the number of streams that were closed.
+        """
         self.held_bytes = 0
         self.limit_bytes = limit_bytes
         self._incomplete = incomplete
+        self._on_evicted = on_evicted
 
     def received(self, size: int) -> None:
         """Adds input that was received, and closes connections if it is too much."""
@@ -48,7 +60,11 @@
 
     def _evict(self) -> None:
         target_bytes = int(self.limit_bytes * EVICTION_TARGET_FRACTION)
+        closed_count = 0
         for stream in sorted(self._incomplete(), key=lambda stream: stream.input_since_s):
             if self.held_bytes <= target_bytes:
-                return
+                break
             stream.close()
+            closed_count += 1
+        if closed_count:
+            self._on_evicted(closed_count)
--- a/tests/net/test_many_clients.py
+++ b/tests/net/test_many_clients.py
@@ -97,6 +97,7 @@
     def test_ajp_requests_that_stop_in_the_middle_of_a_large_head(self):
         packet = encode_packet(TO_SERVER, bytes(PACKET_BYTES - 4))[:-1]
         self.play("AjpFront", lambda client: client.sock.sendall(packet))
+        self.assertEqual(self.program.logged("input_memory_exceeded")[0]["front"], "AjpFront")
 
     def test_ajp_requests_that_stop_in_the_middle_of_a_large_body(self):
         def send(client):
